--- /dev/null
+++ b/aspentrail/rules.py
@@ -0,0 +1,427 @@
+"""Every decision of the balancer. The types, events and actions it speaks stand in interface.py.
+
+How a server is picked: two distinct ready servers are drawn at random from this agent's slice of the list,
+and the request goes to the one with the lower peak-EWMA latency x (pending + 1). Estimates come from this
+balancer's own outcomes; a failure enters as at least a penalty. Each departure from that is marked with the
+risk it covers, and docs/design.md says when it acts.
+"""
+
+from __future__ import annotations
+
+from math import exp
+from random import Random
+
+from aspentrail import interface as api
+
+# Latencies are kept as multiples of what is usual for the request's class and cost hint, so none of these
+# is in units of one deployment.
+DECAY_AIMS = 4.0  # an estimate fades over so many mean aims: several answers' time
+RECENT_AIMS = 10.0  # a mean over many servers fades later: it tells how the fleet does
+PENALTY = 4.0  # a failure counts as four usual latencies: worse than a loaded server, no verdict for good
+SLICE_LEAST = 4  # servers drawn from at least: two to compare and two to spare
+SLICE_US = 500_000  # one more server for each request in this time, so that each is heard from that often
+DRAWS = 8  # tries to draw a fit server before giving up: keeps a pick O(1) when most are cold or shut
+RETRY_SHARE = 0.1  # retries a request earns: a storm cannot add more than this to the load
+RETRY_BURST = 5.0  # retries saved up at most, so that a quiet agent can still move a few requests
+MEMORY = 64  # samples that a usual value looks back on
+RECENT = 0.1  # weight of a new sample in a recent mean
+SERVER_RECENT = 0.3  # the same for one server, which is heard from less often
+SLACK = 0.6  # share of the room between usual latency and aim that a request may be expected to wait
+LATE = 0.05  # late share tolerated before refusing in earnest; what late answers still earn is added
+LET_THROUGH = 0.05  # hopeless requests sent all the same: without samples nobody would see the trouble end
+COME_BACK = 0.25  # share of its aim that a refused client is told to stay away
+SHUT_LONGEST = 16  # back-off from a server that refuses connections doubles up to so many connect time-outs
+
+
+class Usual:
+    """A running usual value that leans to the low samples: what is common without congestion."""
+
+    __slots__ = ("count", "value")
+
+    def __init__(self, value: float) -> None:
+        self.value = value
+        self.count = 0
+
+    def add(self, sample: float) -> None:
+        self.count = min(MEMORY, self.count + 1)
+        step = (sample - self.value) / self.count
+        if step > 0.0 and self.count > 8:
+            # Risk: an overload taken for usual. Then nobody sees it, and nothing is left to fall back to.
+            step = min(step, self.value / self.count) * 0.2
+        self.value += step
+
+
+class Recent:
+    """What samples say of late, falling back to the usual value as they age. Risk: an agent that refuses on a
+    few slow samples gets no new ones, and would go on refusing for ever."""
+
+    __slots__ = ("decay_us", "stamp", "usual", "value")
+
+    def __init__(self, value: float, decay_us: float) -> None:
+        self.usual = Usual(value)
+        self.value = value
+        self.stamp = 0
+        self.decay_us = decay_us
+
+    def read(self, now: int) -> float:
+        usual = self.usual.value
+        return usual + (self.value - usual) * exp((self.stamp - now) / self.decay_us)
+
+    def add(self, sample: float, now: int) -> None:
+        self.usual.add(sample)
+        value = self.read(now)
+        self.value = value + (sample - value) * RECENT
+        self.stamp = now
+
+
+class Server:
+    """What this balancer knows of one backend: a peak estimate to pick by, a plain mean to forecast by."""
+
+    __slots__ = ("decay_us", "estimate", "failures", "info", "kind", "mean", "pending", "shut_until", "stamp",
+                 "warm_at")  # fmt: skip
+
+    def __init__(self, info: api.Backend, kind: Recent, cold_us: int, decay_us: float) -> None:
+        self.decay_us = decay_us
+        self.pending: dict[tuple[int, int], tuple[int, float]] = {}  # oldest first: sent at, expected latency
+        self.start(info, kind, cold_us)
+
+    def start(self, info: api.Backend, kind: Recent, cold_us: int) -> None:
+        """A new process: what was learnt of the old one does not hold."""
+        self.info = info
+        self.kind = kind
+        self.estimate = self.mean = 0.0
+        self.stamp = -1  # never heard from
+        self.failures = self.shut_until = 0
+        self.warm_at = info.started_us + cold_us if info.started_us else 0
+
+    def weight(self, now: int) -> float:
+        return exp((self.stamp - now) / self.decay_us) if self.stamp >= 0 else 0.0
+
+    def at_least(self, value: float, now: int) -> float:
+        """Raised to the age of the oldest pending attempt. Risk: a hung server answers nothing, so its
+        estimate would stay low while requests pile up on it."""
+        if not self.pending:
+            return value
+        sent_at, expected_us = next(iter(self.pending.values()))
+        return max(value, (now - sent_at) / expected_us)
+
+    def project(self, now: int) -> float:
+        """The estimate, decayed to now towards what servers of its kind do. Risk: decaying to nothing, a slow
+        server that was not sent to for a while would look the fastest of all."""
+        kind = self.kind.read(now)
+        return kind + (self.estimate - kind) * self.weight(now)
+
+    def observe(self, sample: float, now: int) -> None:
+        """The peak rule: a sample above the estimate projected to now replaces it, another is blended in."""
+        weight = self.weight(now)
+        kind = self.kind.read(now)
+        mean = kind + (self.mean - kind) * weight
+        self.mean = mean + (sample - mean) * SERVER_RECENT
+        if sample > self.project(now):
+            self.estimate = sample
+        else:
+            self.estimate = self.estimate * weight + sample * (1.0 - weight)
+        self.stamp = now
+
+    def load(self, now: int) -> float:
+        return self.at_least(self.project(now), now) * (len(self.pending) + 1)
+
+    def forecast(self, now: int) -> float:
+        """The latency to expect. Not the peak: one costly request would have everything refused."""
+        kind = self.kind.read(now)
+        return self.at_least(kind + (self.mean - kind) * self.weight(now), now)
+
+
+class Held:
+    """A request that still owes its final answer."""
+
+    __slots__ = ("arrived", "attempts", "cls", "expected_us", "open", "request", "risky")
+
+    def __init__(self, request: api.Request, cls: api.RequestClass, expected_us: float, now: int) -> None:
+        self.request = request
+        self.cls = cls
+        self.expected_us = expected_us
+        self.arrived = now
+        self.attempts = 0
+        self.open: set[int] = set()
+        self.risky: dict[int, tuple[int, api.Backend]] = {}  # attempts that may have run yet: when, where
+
+
+class Balancer:
+    """One agent's decisions, sans-IO: hand each event to its handler, carry out the actions it returns."""
+
+    def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
+        self.settings = settings
+        self.random = Random(seed).random
+        self.started = now
+        self.classes = {cls.name: cls for cls in settings.classes}
+        aims = [cls.aim_us for cls in settings.classes]
+        self.decay_us = DECAY_AIMS * sum(aims) / len(aims)
+        self.recent_us = RECENT_AIMS * sum(aims) / len(aims)
+        # Before its first answer a class is taken to need a third of its aim; that answer replaces the guess.
+        self.usual = {cls.name: Usual(cls.aim_us / 3) for cls in settings.classes}
+        self.hints = {cls.name: Usual(0.0) for cls in settings.classes}
+        by_work = settings.worth_by_work
+        value = {cls.name: cls.worth / (1 if by_work else cls.aim_us) for cls in settings.classes}
+        self.dearest = max(settings.classes, key=lambda cls: value[cls.name])
+        top = value[self.dearest.name] or 1.0
+        self.rank = {name: worth / top for name, worth in value.items()}
+        self.common_us = 0.0  # the usual latency of a request of any class
+        self.late = Recent(0.0, self.recent_us)  # share of recent attempts that missed their aim
+        self.kinds: dict[str, Recent] = {}
+        self.servers: dict[str, Server] = {}
+        self.ready: list[Server] = []
+        self.slice: list[Server] = []
+        self.held: dict[int, Held] = {}
+        self.attempts: dict[tuple[int, int], tuple[Server, float, api.RequestClass]] = {}
+        self.requests = 0
+        self.retries = RETRY_BURST
+        self.asking = False
+        self.ask_failures = 0
+
+    # Keeping up with the list of servers
+
+    def start(self) -> list[api.Action]:
+        """The first actions. Risk: agents that restart together reach discovery together; hence a seeded
+        spread."""
+        return self._ask(0.5 * self.random())
+
+    def _ask(self, spreads: float) -> list[api.Action]:
+        if self.asking or not self.settings.subscribe:
+            return []
+        self.asking = True
+        return [api.SetTimer(int(spreads * self.settings.ask_within_us), "subscribe")]
+
+    def on_list(self, event: api.BackendList, now: int) -> list[api.Action]:
+        if event.kind is api.ListKind.FAILED:
+            # The list held stays in use. Risk: hammering a slow discovery; hence a growing, seeded back-off.
+            self.ask_failures += 1
+            return self._ask(min(2.0, 0.125 * 2**self.ask_failures) * (0.5 + self.random()))
+        if event.kind is not api.ListKind.CACHED:
+            self.ask_failures = 0
+        known, kept = self.servers, self.servers
+        if event.kind is not api.ListKind.DELTA:
+            kept = self.servers = {}
+        for info in event.backends:
+            server = known.get(info.id)
+            if info.state is api.State.GONE:
+                kept.pop(info.id, None)
+                continue
+            kind = self.kinds.setdefault(info.kind, Recent(1.0, self.recent_us))
+            if server is None:
+                server = Server(info, kind, self.settings.cold_us, self.decay_us)
+            elif server.info.started_us != info.started_us:
+                server.start(info, kind, self.settings.cold_us)
+            server.info = info
+            kept[info.id] = server
+        # Draining and gone leave the draw at once. Risk: a drain broken within its grace by a late request.
+        self.ready = [server for server in kept.values() if server.info.state is api.State.READY]
+        self.ready.sort(key=lambda server: server.info.id)
+        self._choose_slice(now)
+        return []
+
+    def _choose_slice(self, now: int) -> None:
+        """The part of the fleet this agent draws from: a stable slice of the sorted list, placed by its
+        number so that the slices of all agents cover the fleet evenly, and sized by its traffic so that a
+        busy agent does not crowd it. Risk: drawn from the whole list, a quiet agent hears too seldom from
+        any one server."""
+        size = len(self.ready)
+        rate = self.requests / max(1_000_000, now - self.started)
+        wanted = min(size, max(SLICE_LEAST, int(rate * SLICE_US)))
+        begin = self.settings.number * size // self.settings.agents
+        self.slice = (self.ready[begin:] + self.ready[:begin])[:wanted]
+
+    # From request to final answer
+
+    def on_request(self, event: api.Request, now: int) -> list[api.Action]:
+        cls = self.classes[event.class_name]
+        expected_us = self.usual[cls.name].value
+        if event.cost_hint_us > 0:
+            # Risk: one costly request brands a healthy server. Half, since waiting does not grow with the
+            # cost.
+            hints = self.hints[cls.name]
+            hints.add(event.cost_hint_us)
+            expected_us *= 0.5 + 0.5 * min(8.0, event.cost_hint_us / hints.value)
+        self.common_us += (self.usual[cls.name].value - self.common_us) / min(MEMORY, self.requests + 1)
+        held = self.held[event.id] = Held(event, cls, max(1.0, expected_us), now)
+        self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
+        self.requests += 1
+        if not self.requests & 31:
+            self._choose_slice(now)
+        return self._place(held, now)
+
+    def on_timer(self, event: api.Timer, now: int) -> list[api.Action]:
+        if event.tag == "subscribe":
+            self.asking = False
+            return [api.Subscribe()]
+        held = self.held.get(int(event.tag)) if event.tag.isdigit() else None
+        return [] if held is None or held.open else self._place(held, now)
+
+    def on_stream_started(self, event: api.StreamStarted, now: int) -> list[api.Action]:
+        return []  # the client has it now, with no deadline; the attempt's end will be told as any other
+
+    def on_client_gone(self, event: api.ClientGone, now: int) -> list[api.Action]:
+        held = self.held.pop(event.request_id, None)
+        return self._cancel(held) if held else []
+
+    def on_attempt_ended(self, event: api.AttemptEnded, now: int) -> list[api.Action]:
+        key = (event.request_id, event.attempt)
+        if key not in self.attempts:
+            return []
+        server, expected_us, cls = self.attempts.pop(key)
+        server.pending.pop(key, None)
+        self._learn(server, event, expected_us, cls, now)
+        held = self.held.get(event.request_id)
+        if held is None:
+            return []
+        held.open.discard(event.attempt)
+        if event.finished:
+            del self.held[event.request_id]
+            return self._cancel(held)
+        if event.outcome in api.NEVER_RAN:
+            held.risky.pop(event.attempt, None)
+        if held.open:
+            return []
+        # Risk: a retry storm. What cannot be paid from the budget ends here.
+        if self.retries < 1.0 or event.outcome is api.Outcome.UNSENT:
+            return self._end(held)
+        self.retries -= 1.0
+        return self._place(held, now)
+
+    def _learn(
+        self, server: Server, event: api.AttemptEnded, expected_us: float, cls: api.RequestClass, now: int
+    ) -> None:
+        outcome = event.outcome
+        sample = event.elapsed_us / expected_us
+        if outcome is api.Outcome.UNSENT:
+            return
+        if outcome is api.Outcome.CANCELLED or outcome is api.Outcome.TIMEOUT:
+            # It would have taken longer: never a reason to think better of the server.
+            server.observe(max(sample, server.project(now)), now)
+        elif outcome is not api.Outcome.OK:
+            # Risk: a dead server refuses connections at once, and its tiny elapsed times would draw every
+            # pick.
+            server.observe(max(PENALTY, sample), now)
+        else:
+            server.observe(sample, now)
+            server.kind.add(sample, now)
+            self.usual[cls.name].add(event.elapsed_us)
+        if outcome is api.Outcome.UNREACHABLE or outcome is api.Outcome.RESET:
+            # Shut for a while that doubles; then the first pick is the single trial that decides on the next.
+            server.shut_until = now + min(SHUT_LONGEST, 2**server.failures) * self.settings.connect_timeout_us
+            server.failures += 1
+        elif outcome is api.Outcome.OK:
+            server.failures = server.shut_until = 0
+        if outcome is not api.Outcome.CANCELLED:
+            in_time = outcome is api.Outcome.OK and event.elapsed_us <= cls.aim_us
+            self.late.add(0.0 if in_time else 1.0, now)
+
+    def _place(self, held: Held, now: int) -> list[api.Action]:
+        """Send the request, hold it until a server is known, or end it."""
+        left_us = held.request.deadline_us - now
+        if left_us <= 0 or held.attempts >= self.settings.max_attempts:
+            return self._end(held)
+        if not self.ready and not held.attempts:
+            # No server is known: hold. No outcome will wake a held request, so a timer. Risk: it would be
+            # lost.
+            return [api.SetTimer(min(left_us, max(1, held.cls.aim_us // 8)), str(held.request.id))]
+        pool = self._allowed(held, now)
+        server = self._pick(pool, held.attempts == 0, now)
+        if server is not None and self._hopeless(held, server, now):
+            # While no more come late than tolerated, suspect the pair and not the fleet: one pair more.
+            calm = self.late.read(now) < LATE + held.cls.late_worth
+            server = self._pick(pool, held.attempts == 0, now) if calm else None
+            if server is not None and self._hopeless(held, server, now):
+                server = None
+        if server is None:
+            return self._end(held)
+        key = (held.request.id, held.attempts)
+        self.attempts[key] = (server, held.expected_us, held.cls)
+        server.pending[key] = (now, held.expected_us)
+        held.risky[held.attempts] = (now, server.info)
+        held.open.add(held.attempts)
+        held.attempts += 1
+        if server.shut_until:  # the single trial: nobody else until its outcome or another back-off
+            server.shut_until = now + self.settings.connect_timeout_us * SHUT_LONGEST
+        return [api.Send(held.request.id, server.info.id, left_us)]
+
+    def _allowed(self, held: Held, now: int) -> list[Server]:
+        """The servers a request may go to. Risk: an effect twice. Once an attempt may have run, an unsafe
+        request goes nowhere, and a keyed one only to the group that drops its repeats and while it
+        remembers, counted from the first such attempt."""
+        if not held.risky or held.cls.effect is api.Effect.SAFE:
+            return self.slice
+        if held.cls.effect is api.Effect.UNSAFE:
+            return []
+        sent_at, info = next(iter(held.risky.values()))
+        if now >= sent_at + held.cls.dedup_window_us:
+            return []
+        if held.cls.scope is api.Scope.ZONE:
+            return [server for server in self.ready if server.info.zone == info.zone]
+        if held.cls.scope is api.Scope.CELL:
+            return [server for server in self.ready if server.info.cell == info.cell]
+        return self.slice
+
+    def _pick(self, pool: list[Server], first_try: bool, now: int) -> Server | None:
+        """The less loaded of two random servers. A cold one takes part only as the first drawn, kept by the
+        chance of its warmth, and never in a retry: so its share is at most this agent's mean rate for a
+        server times its warmth. Risk: all agents prefer the idle newcomer and push it over, also when the
+        whole fleet is cold."""
+        if not pool:
+            return None
+        one: Server | None = pool[int(self.random() * len(pool))]
+        if one is not None and (one.warm_at > now or one.shut_until > now):
+            left = min(1.0, max(0.0, (one.warm_at - now) / max(1, self.settings.cold_us)))
+            warmth = 1.0 - (1.0 - self.settings.cold_from) * left
+            if one.shut_until > now or not first_try or self.random() >= warmth:
+                one = self._draw(pool, None, now)
+        if one is None:
+            return None
+        two = self._draw(pool, one, now)
+        return one if two is None or one.load(now) <= two.load(now) else two
+
+    def _draw(self, pool: list[Server], other: Server | None, now: int) -> Server | None:
+        """A random server that is warm, not shut and not `other`. The last draws walk on from a random
+        place, so that a small pool is searched through."""
+        size = len(pool)
+        start = int(self.random() * size)
+        for draw in range(2 * DRAWS):
+            server = pool[int(self.random() * size) if draw < DRAWS else (start + draw) % size]
+            if server is not other and server.warm_at <= now and server.shut_until <= now:
+                return server
+        return None
+
+    def _hopeless(self, held: Held, server: Server, now: int) -> bool:
+        """Whether even the better of two servers is expected to answer too late. Risk: in overload, work
+        that comes too late to count keeps everybody else late too, and clients come back for more. The
+        fewer answers have come late of late, the less a bad forecast is believed."""
+        cls, dearest = held.cls, self.dearest
+        # All classes wait in the same queues, so the wait that each may expect is laddered by worth below
+        # that of the dearest, and what has no room of its own goes first. Risk: the class of longest usual
+        # latency makes way for cheaper ones.
+        room_us = min(
+            cls.aim_us - self.usual[cls.name].value,
+            (dearest.aim_us - self.usual[dearest.name].value) * self.rank[cls.name],
+        )
+        tolerance = max(1.0, (LATE + cls.late_worth) / (self.late.read(now) + 1e-9))
+        # A repeat has spent at least the time it was told to stay away.
+        spent_us = now - held.arrived + (cls.aim_us * COME_BACK if held.request.is_retry else 0.0)
+        wait_us = (server.forecast(now) - 1.0) * self.common_us
+        return wait_us > SLACK * room_us * tolerance - spent_us and self.random() >= LET_THROUGH
+
+    def _end(self, held: Held) -> list[api.Action]:
+        """The final answer. A refusal says that a retry does no harm: only where no attempt may have run,
+        or where the repeat is dropped or borne by every server."""
+        del self.held[held.request.id]
+        cls = held.cls
+        everywhere = cls.effect is api.Effect.KEYED and cls.scope is api.Scope.ALL
+        if not held.risky or cls.effect is api.Effect.SAFE or everywhere:
+            stay_away_us = min(self.settings.max_retry_after_us, int(cls.aim_us * COME_BACK))
+            return [api.Refuse(held.request.id, stay_away_us)]
+        return [api.Fail(held.request.id)]
+
+    def _cancel(self, held: Held) -> list[api.Action]:
+        """Call off what is still out for a finished request."""
+        if not self.settings.may_cancel:
+            return []
+        return [api.CancelAttempt(held.request.id, attempt) for attempt in sorted(held.open)]
--- /dev/null
+++ b/clayscale/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: carries out on real sockets what the decision module `aspentrail` decides."""
--- /dev/null
+++ b/clayscale/agent.py
@@ -0,0 +1,280 @@
+"""The only caller of the decision module: events in, actions out. It carries decisions out and makes none."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import NamedTuple, TypeVar
+
+from aspentrail import interface as api
+from aspentrail.rules import Balancer
+from clayscale.config import Config
+from clayscale.messages import Answer, BrokenAnswer, Call, Ended, Stream
+from clayscale.net.discovery import Directory, Discovery, Update
+from clayscale.net.upstream import Upstream
+
+log = logging.getLogger(__name__)
+
+# Taken off each deadline: an answer leaves some time after the module's word, on a core that others share.
+DEADLINE_MARGIN_US = 5_000
+# Given to the module past its deadline before the agent answers in its place; the rules' slack is longer.
+OVERDUE_US = 10_000
+
+E = TypeVar("E", bound=NamedTuple)
+
+
+class Clock:
+    """Monotonic microseconds, anchored once to Unix time, in which starts of backends are told."""
+
+    def __init__(self) -> None:
+        self._anchor_us = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+
+    def __call__(self) -> int:
+        return self._anchor_us + time.monotonic_ns() // 1000
+
+
+class Held:
+    """A request that is owed its final answer."""
+
+    __slots__ = ("answer", "attempts", "call", "id", "open", "overdue")
+
+    def __init__(self, number: int, call: Call, answer: asyncio.Future[Answer]) -> None:
+        self.id = number
+        self.call = call
+        self.answer = answer
+        self.attempts = 0
+        self.open: dict[int, asyncio.Task[None]] = {}
+        self.overdue: asyncio.TimerHandle | None = None
+
+
+class Agent:
+    """One Balancer on real time, real backends and a real list."""
+
+    def __init__(self, config: Config, upstream: Upstream) -> None:
+        self._config = config
+        self._upstream = upstream
+        self._clock = Clock()
+        self._loop = asyncio.get_running_loop()
+        self._balancer = Balancer(config.settings, config.seed, self._clock())
+        self._classes = {cls.name for cls in config.settings.classes}
+        self._directory = Directory()
+        self._discovery = Discovery(
+            config.discovery, config.known.revision, self._on_update, self._on_failure
+        )
+        self._held: dict[int, Held] = {}
+        self._running: dict[tuple[int, int], asyncio.Task[None]] = {}
+        self._count = 0
+
+    def start(self) -> None:
+        self._run(self._balancer.start())
+        known = self._config.known
+        self._directory.apply(known)
+        self._tell(self._balancer.on_list, api.BackendList(api.ListKind.CACHED, known.backends))
+
+    def close(self) -> None:
+        self._discovery.close()
+        for task in self._running.values():
+            task.cancel()
+        self._upstream.close()
+
+    @property
+    def owed(self) -> int:
+        """How many requests still wait for their final answer."""
+        return len(self._held)
+
+    def knows(self, class_name: str) -> bool:
+        return class_name in self._classes
+
+    # Events
+
+    def take(self, call: Call) -> Held:
+        """A request has come whole. Its final answer will be the held future's result."""
+        now = self._clock()
+        self._count += 1
+        held = Held(self._count, call, self._loop.create_future())
+        if len(self._held) >= self._config.most_held:
+            held.answer.set_result(refusal(0))
+            return held
+        self._held[held.id] = held
+        left_us = call.budget_us - DEADLINE_MARGIN_US
+        held.overdue = self._loop.call_later((left_us + OVERDUE_US) / 1e6, self._overdue, held)
+        event = api.Request(
+            held.id,
+            call.class_name,
+            now + left_us,
+            call.cost_hint_us,
+            call.tenant,
+            call.key,
+            call.is_retry,
+        )
+        self._tell(self._balancer.on_request, event, held)
+        return held
+
+    def abandon(self, held: Held) -> None:
+        """The client has gone away."""
+        if self._end(held):
+            self._tell(self._balancer.on_client_gone, api.ClientGone(held.id))
+
+    def _overdue(self, held: Held) -> None:
+        # Risk: whatever goes wrong with a decision, a request that was taken would be lost.
+        log.error("request %d was overdue", held.id)
+        self._finish(held, failure())
+        self._tell(self._balancer.on_client_gone, api.ClientGone(held.id))
+
+    def _on_update(self, update: Update) -> None:
+        self._directory.apply(update)
+        kind = api.ListKind.FULL if update.complete else api.ListKind.DELTA
+        self._tell(self._balancer.on_list, api.BackendList(kind, update.backends))
+
+    def _on_failure(self) -> None:
+        self._tell(self._balancer.on_list, api.BackendList(api.ListKind.FAILED))
+
+    def _tell(
+        self, handler: Callable[[E, int], list[api.Action]], event: E, held: Held | None = None
+    ) -> None:
+        """Hand an event to the module and carry out what it answers."""
+        try:
+            self._run(handler(event, self._clock()))
+        except Exception:
+            log.exception("deciding on %s failed", type(event).__name__)
+            if held is not None and self._finish(held, failure()):
+                self._tell(self._balancer.on_client_gone, api.ClientGone(held.id))
+
+    # Actions
+
+    def _run(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            match action:
+                case api.Send():
+                    self._send(action)
+                case api.Refuse(request_id, retry_after_us):
+                    self._answer(request_id, refusal(retry_after_us))
+                case api.Fail(request_id):
+                    self._answer(request_id, failure())
+                case api.CancelAttempt(request_id, attempt):
+                    task = self._running.get((request_id, attempt))
+                    if task is not None:
+                        task.cancel()
+                case api.SetTimer(delay_us, tag):
+                    self._loop.call_later(delay_us / 1e6, self._tell, self._balancer.on_timer, api.Timer(tag))
+                case api.Subscribe():
+                    self._discovery.subscribe()
+
+    def _answer(self, request_id: int, answer: Answer) -> None:
+        held = self._held.get(request_id)
+        if held is not None:
+            self._finish(held, answer)
+
+    def _end(self, held: Held) -> bool:
+        """It is owed nothing more. False if it was not owed anything."""
+        if self._held.pop(held.id, None) is None:
+            return False
+        if held.overdue is not None:
+            held.overdue.cancel()
+        return True
+
+    def _finish(self, held: Held, answer: Answer) -> bool:
+        if not self._end(held):
+            return False
+        if not held.answer.done():
+            held.answer.set_result(answer)
+        return True
+
+    def _send(self, action: api.Send) -> None:
+        held = self._held.get(action.request_id)
+        if held is None:
+            log.error("an attempt for request %d, which is not held", action.request_id)
+            return
+        key = (held.id, held.attempts)
+        held.attempts += 1
+        self._running[key] = asyncio.create_task(self._attempt(held, key, action))
+
+    async def _attempt(self, held: Held, key: tuple[int, int], action: api.Send) -> None:
+        started = self._clock()
+        try:
+            ended = await self._exchange(held.call, action)
+        except asyncio.CancelledError:
+            ended = Ended(api.Outcome.CANCELLED)
+        except Exception:
+            log.exception("an attempt failed")
+            ended = Ended(api.Outcome.UNKNOWN)
+        del self._running[key]
+        self._ended(held, key, ended, self._clock() - started)
+
+    async def _exchange(self, call: Call, action: api.Send) -> Ended:
+        backend = action.backend
+        address = self._directory.address(backend)
+        if address is None:
+            return Ended(api.Outcome.UNSENT)
+        return await self._upstream.attempt(
+            call, address, action.timeout_us, lambda: self._directory.is_ready(backend)
+        )
+
+    def _ended(self, held: Held, key: tuple[int, int], ended: Ended, elapsed_us: int) -> None:
+        answer = ended.answer
+        if answer is not None and answer.stream is not None:
+            if held.id in self._held:
+                self._stream(held, key, answer, answer.stream, elapsed_us)
+                return
+            answer.stream.close()
+            ended = Ended(api.Outcome.CANCELLED)
+        elif answer is not None:
+            self._finish(held, answer)
+        finished = held.id not in self._held
+        event = api.AttemptEnded(*key, ended.outcome, elapsed_us, finished)
+        self._tell(self._balancer.on_attempt_ended, event, held)
+
+    def _stream(
+        self, held: Held, key: tuple[int, int], answer: Answer, stream: Stream, elapsed_us: int
+    ) -> None:
+        """A long answer has begun: it belongs to the client now, and no deadline runs."""
+        self._tell(self._balancer.on_stream_started, api.StreamStarted(*key), held)
+
+        def ended(outcome: api.Outcome) -> None:
+            event = api.AttemptEnded(*key, outcome, elapsed_us, True)
+            self._tell(self._balancer.on_attempt_ended, event)
+
+        answer.stream = _ToldStream(stream, ended)
+        if not self._finish(held, answer):
+            answer.stream.close()
+
+
+class _ToldStream(Stream):
+    """A stream whose end, of whatever kind, is told once."""
+
+    def __init__(self, stream: Stream, ended: Callable[[api.Outcome], None]) -> None:
+        self._stream = stream
+        self._ended: Callable[[api.Outcome], None] | None = ended
+        self.length = stream.length
+
+    async def read(self) -> bytes:
+        try:
+            piece = await self._stream.read()
+        except BrokenAnswer:
+            self._tell(api.Outcome.RESET)
+            raise
+        if not piece:
+            self._tell(api.Outcome.OK)
+        return piece
+
+    def close(self) -> None:
+        self._stream.close()
+        self._tell(api.Outcome.CANCELLED)
+
+    def _tell(self, outcome: api.Outcome) -> None:
+        if self._ended is not None:
+            ended, self._ended = self._ended, None
+            ended(outcome)
+
+
+def refusal(retry_after_us: int) -> Answer:
+    """Trying again does no harm."""
+    headers = [(b"Retry-After", b"%.6g" % (retry_after_us / 1e6))] if retry_after_us > 0 else []
+    return Answer(503, headers, b"refused\n")
+
+
+def failure() -> Answer:
+    """Nothing is promised: it may have run."""
+    return Answer(500, [], b"failed\n")
--- /dev/null
+++ b/clayscale/config.py
@@ -0,0 +1,126 @@
+"""What the agent is told at its start: the environment and a JSON file, checked once."""
+
+from __future__ import annotations
+
+import json
+import resource
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from aspentrail.adapter import parse_settings
+from aspentrail.interface import Settings
+from clayscale.messages import Address
+from clayscale.net.discovery import Malformed, Update, parse_address, parse_update
+
+CONFIG = "BALANCER_CONFIG"
+LEAST_MEMORY_MB = 1
+LEAST_SOCKETS = 64  # fewer leave no room for a client and a backend beside what is always open
+
+
+class BadConfig(Exception):
+    """A start that cannot be made, in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    memory_bytes: int
+    sockets: int
+    settings: Settings
+    known: Update
+    most_held: int
+    idle_us: int
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """The configuration that the environment names."""
+    path = environ.get(CONFIG)
+    if not path:
+        raise BadConfig(f"{CONFIG} is not set")
+    try:
+        table = json.loads(Path(path).read_bytes())
+    except OSError as fault:
+        raise BadConfig(f"{CONFIG}: {path}: {fault.strerror}") from None
+    except ValueError as fault:
+        raise BadConfig(f"{CONFIG}: {path}: not JSON: {fault}") from None
+    if not isinstance(table, dict):
+        raise BadConfig(f"{CONFIG}: {path}: not an object")
+    for key in ("name", "listen", "discovery"):
+        if environ.get(f"BALANCER_{key.upper()}"):
+            table[key] = environ[f"BALANCER_{key.upper()}"]
+    return parse(table)
+
+
+def parse(table: dict[str, Any]) -> Config:
+    limits = _object(table, "limits")
+    settings = _object(table, "settings")
+    rules_limits = _object(settings, "limits", "settings.limits")
+    try:
+        return Config(
+            name=str(_value(table, "name")),
+            listen=_address(table, "listen"),
+            discovery=_address(table, "discovery"),
+            seed=_seed(table),
+            memory_bytes=_whole(limits, "memory_mb", "limits.memory_mb", LEAST_MEMORY_MB) * 1024 * 1024,
+            sockets=_sockets(limits),
+            settings=parse_settings(settings),
+            known=_known(table),
+            most_held=_whole(rules_limits, "mostHeld", "settings.limits.mostHeld", 1),
+            idle_us=_whole(rules_limits, "connIdleUs", "settings.limits.connIdleUs", 1),
+        )
+    except (ValueError, TypeError) as fault:
+        raise BadConfig(f"settings: {fault}") from None
+
+
+def _value(table: dict[str, Any], key: str, where: str = "") -> Any:
+    if key not in table:
+        raise BadConfig(f"{where or key} is missing")
+    return table[key]
+
+
+def _object(table: dict[str, Any], key: str, where: str = "") -> dict[str, Any]:
+    value = _value(table, key, where)
+    if not isinstance(value, dict):
+        raise BadConfig(f"{where or key} is not an object")
+    return value
+
+
+def _whole(table: dict[str, Any], key: str, where: str, least: int) -> int:
+    value = _value(table, key, where)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or value < least:
+        raise BadConfig(f"{where} is not a number of at least {least}: {value!r}")
+    return int(value)
+
+
+def _address(table: dict[str, Any], key: str) -> Address:
+    try:
+        return parse_address(_value(table, key))
+    except Malformed as fault:
+        raise BadConfig(f"{key}: {fault}") from None
+
+
+def _seed(table: dict[str, Any]) -> int:
+    value = _value(table, "seed")
+    try:
+        return int(value, 16)
+    except (ValueError, TypeError):
+        raise BadConfig(f"seed is not a hexadecimal number: {value!r}") from None
+
+
+def _known(table: dict[str, Any]) -> Update:
+    try:
+        return parse_update(_value(table, "known"))
+    except Malformed as fault:
+        raise BadConfig(f"known: {fault}") from None
+
+
+def _sockets(limits: dict[str, Any]) -> int:
+    """The lower of what is told and what the process may hold in fact."""
+    told = _whole(limits, "sockets", "limits.sockets", LEAST_SOCKETS)
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return told if soft == resource.RLIM_INFINITY else min(told, soft)
--- /dev/null
+++ b/clayscale/net/discovery.py
@@ -0,0 +1,196 @@
+"""Discovery: the watch on the list of backends, and where each backend is reached."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import socket
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import h11
+
+from aspentrail import interface as api
+from clayscale.messages import Address
+from clayscale.net.http import Wire, frame
+
+log = logging.getLogger(__name__)
+
+PATH = "/registry/instances"
+HEARTBEAT_S = 2.0  # while nothing changes an empty line comes this often
+SILENCE_S = HEARTBEAT_S + 1.0  # longer is a break; what it would have told counts as told after 6 s of it
+LINE_MOST = 16 * 1024 * 1024  # tens of thousands of entries; a line without end is a break
+
+STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
+
+
+class Malformed(Exception):
+    """A list that does not say what it must."""
+
+
+class Update(NamedTuple):
+    """One line of discovery's: the whole list or what changed in it."""
+
+    revision: int
+    complete: bool
+    backends: tuple[api.Backend, ...]
+    addresses: dict[str, Address]
+
+
+def parse_address(text: Any) -> Address:
+    host, colon, port = str(text).rpartition(":")
+    if not (colon and host and port.isdigit() and 0 < int(port) < 65_536):
+        raise Malformed(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def parse_update(value: Any) -> Update:
+    """A list in discovery's form; fields that it does not know are passed over."""
+    try:
+        backends, addresses = [], {}
+        for member in value["members"]:
+            backend = _backend(member)
+            backends.append(backend)
+            if backend.state is not api.State.GONE:
+                addresses[backend.id] = parse_address(member["host_port"])
+        return Update(int(value["revision"]), bool(value["complete"]), tuple(backends), addresses)
+    except KeyError as missing:
+        raise Malformed(f"{missing.args[0]} is missing") from None
+    except (TypeError, ValueError, AttributeError) as fault:
+        raise Malformed(str(fault)) from None
+
+
+def _backend(member: dict[str, Any]) -> api.Backend:
+    state = STATES.get(member["phase"])
+    if state is None:
+        raise Malformed(f"phase is unknown: {member['phase']!r}")
+    return api.Backend(
+        id=str(member["id"]),
+        zone=str(member.get("locality", "")),
+        kind=str(member.get("flavor", "")),
+        cell=int(member.get("cell", 0)),
+        state=state,
+        weight=float(member.get("size", 1.0)),
+        started_us=int(member.get("up_since_ms", 0)) * 1000,
+    )
+
+
+class Directory:
+    """Where the listed backends are reached, and which of them want nothing new."""
+
+    def __init__(self) -> None:
+        self._addresses: dict[str, Address] = {}
+        self._ready: set[str] = set()
+
+    def apply(self, update: Update) -> None:
+        if update.complete:
+            self._addresses.clear()
+            self._ready.clear()
+        self._addresses.update(update.addresses)
+        for backend in update.backends:
+            if backend.state is api.State.READY:
+                self._ready.add(backend.id)
+            else:
+                self._ready.discard(backend.id)
+            if backend.state is api.State.GONE:
+                self._addresses.pop(backend.id, None)
+
+    def address(self, backend: str) -> Address | None:
+        return self._addresses.get(backend)
+
+    def is_ready(self, backend: str) -> bool:
+        return backend in self._ready
+
+
+class Discovery:
+    """At most one watch at a time. Each whole line goes to `on_update`; its end, however, to `on_failure`."""
+
+    def __init__(
+        self,
+        address: Address,
+        revision: int,
+        on_update: Callable[[Update], None],
+        on_failure: Callable[[], None],
+    ) -> None:
+        self._address = address
+        self._after = revision
+        self._missed = False  # a line could not be read: ask again for what came after the last good one
+        self._on_update = on_update
+        self._on_failure = on_failure
+        self._watch: asyncio.Task[None] | None = None
+
+    def subscribe(self) -> None:
+        """Ask for changes from here on, in place of any earlier watch."""
+        self.close()
+        self._watch = asyncio.create_task(self._run())
+
+    def close(self) -> None:
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
+
+    async def _run(self) -> None:
+        try:
+            await self._follow()
+            log.warning("the watch ended")
+        except (OSError, h11.ProtocolError, Malformed) as fault:  # TimeoutError is an OSError
+            log.warning("the watch broke: %s: %s", type(fault).__name__, fault)
+        except Exception:
+            log.exception("the watch failed")
+        self._watch = None
+        self._on_failure()
+
+    async def _follow(self) -> None:
+        loop = asyncio.get_running_loop()
+        wire = Wire(socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK))
+        try:
+            async with asyncio.timeout(SILENCE_S):
+                await loop.sock_connect(wire.sock, self._address)
+            parser = h11.Connection(h11.CLIENT)
+            request = h11.Request(
+                method="GET",
+                target=f"{PATH}?watch=1&after={self._after}",
+                headers=[("Host", "{}:{}".format(*self._address))],
+            )
+            await wire.send(frame(parser, request, h11.EndOfMessage()), SILENCE_S)
+            await self._read(parser, wire)
+        finally:
+            wire.close()
+
+    async def _read(self, parser: h11.Connection, wire: Wire) -> None:
+        """Only whole lines count. Risk: a watch that falls silent and stays open would hide every drain."""
+        partial = bytearray()
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                async with asyncio.timeout(SILENCE_S):
+                    parser.receive_data(await wire.receive())
+            elif isinstance(event, h11.Response):
+                if event.status_code != 200:
+                    raise Malformed(f"status {event.status_code}")
+            elif isinstance(event, h11.Data):
+                *lines, rest = event.data.split(b"\n")
+                for line in lines:
+                    self._line(bytes(partial + line))
+                    partial.clear()
+                partial += rest
+                if len(partial) > LINE_MOST:
+                    raise Malformed("a line without end")
+            elif not isinstance(event, h11.InformationalResponse):
+                return
+
+    def _line(self, line: bytes) -> None:
+        if not line.strip():
+            return
+        try:
+            update = parse_update(json.loads(line))
+        except (Malformed, ValueError) as fault:
+            log.warning("a line of the watch is passed over: %s", fault)
+            self._missed = True
+            return
+        if update.complete:
+            self._missed = False
+        if not self._missed:
+            self._after = update.revision
+        self._on_update(update)
--- /dev/null
+++ b/clayscale/net/listener.py
@@ -0,0 +1,460 @@
+"""The client side: connections are accepted, requests read and taken, answers written in their order."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import re
+import socket
+import time
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+from urllib.parse import parse_qs, unquote
+
+import h11
+
+from clayscale.agent import Agent, Held, failure
+from clayscale.messages import Address, Answer, BrokenAnswer, Call, Headers
+from clayscale.net.budget import BODY_MOST, BodyBudget, BodyShare
+from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, Wire, content_length, end_to_end, frame
+
+log = logging.getLogger(__name__)
+
+READY = b"/health/ready"
+BACKLOG = 4096  # a crowd waits here and not in lost SYNs, which come again only after a second
+PIPELINE_MOST = 16  # requests read ahead on one connection; the rest stay unread
+PARTIAL_S = 10.0  # without a byte for so long, a begun request is given up; heads may take 2 s
+STALL_S = 30.0  # a client that takes nothing for so long has stalled; it may take seconds over an answer
+LINGER_S = 1.0  # for the client to read the last answer and close. Risk: a reset would overtake the answer
+GOING_AWAY_S = 0.5  # after SIGTERM new connections go on coming for up to 0.4 s
+GOING_AWAY_MOST_S = 3.2  # SIGKILL comes 3.7 s after SIGTERM at the soonest with deadlines of 3 s
+
+TOKEN = re.compile(rb"[!-~]{1,128}")
+BUDGET = re.compile(rb"(\d{1,12}(?:\.\d{1,6})?)([mu])")
+BUDGET_UNITS_US = {b"m": 1000.0, b"u": 1.0}
+
+
+class BadRequest(Exception):
+    """A request that never reaches the module, and the status that answers it."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class _Gone(Exception):
+    """The client has closed its connection."""
+
+
+@dataclass(slots=True)
+class _Turn:
+    """A request's place in the order of answers."""
+
+    parser: h11.Connection
+    answer: asyncio.Future[Answer]
+    share: BodyShare | None = None
+    held: Held | None = None
+    last: bool = False  # nothing after it will be read
+
+
+class Listener:
+    """All clients of this agent."""
+
+    def __init__(self, agent: Agent, address: Address, clients: int, bodies: BodyBudget) -> None:
+        self.agent = agent
+        self.bodies = bodies
+        self.closing = False
+        self._clients_most = clients
+        self._clients: set[_Client] = set()
+        self._resting: OrderedDict[_Client, None] = OrderedDict()  # those owed nothing, longest idle first
+        self._changed = asyncio.Event()
+        self._sock = socket.create_server(address, backlog=BACKLOG)
+        self._sock.setblocking(False)
+        # Accepted sockets inherit it.
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER)
+        self._accepting = asyncio.create_task(self._accept())
+
+    @property
+    def address(self) -> Address:
+        host, port = self._sock.getsockname()
+        return host, port
+
+    async def close(self) -> None:
+        """Going away: finish what is owed, and take on what still comes while it comes."""
+        started = time.monotonic()
+        self.closing = True
+        for client in list(self._resting):
+            client.end()
+        await asyncio.sleep(GOING_AWAY_S)
+        self._accepting.cancel()
+        self._empty_backlog()
+        self._sock.close()
+        while self._clients and time.monotonic() - started < GOING_AWAY_MOST_S:
+            for client in list(self._resting):
+                client.end()
+            self._changed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(started + GOING_AWAY_MOST_S - time.monotonic()):
+                    await self._changed.wait()
+
+    # Accepting
+
+    async def _accept(self) -> None:
+        """Risk: asyncio's own server stops for a second when descriptors run out, and everybody waits."""
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                sock, _ = await loop.sock_accept(self._sock)
+            except OSError as fault:
+                log.warning("accepting failed: %s", fault)
+                await asyncio.sleep(0.01)
+                continue
+            self._begin(sock)
+            await asyncio.sleep(0)
+            while len(self._clients) >= self._clients_most:
+                self._changed.clear()
+                if not self._evict():
+                    await self._changed.wait()
+                await asyncio.sleep(0)
+
+    def _empty_backlog(self) -> None:
+        """Risk: what waits there was accepted by the machine, and may hold a whole request."""
+        with contextlib.suppress(OSError):
+            while True:
+                self._begin(self._sock.accept()[0])
+
+    def _begin(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        client = _Client(self, Wire(sock))
+        self._clients.add(client)
+        self._resting[client] = None
+        client.start()
+
+    def _evict(self) -> bool:
+        """Close the client that has been idle longest of those that are owed nothing."""
+        for client in self._resting:
+            if client.wire.quiet():
+                del self._resting[client]
+                client.cancel()
+                return True
+        return False
+
+    # What clients report
+
+    def heard(self, client: _Client) -> None:
+        if client in self._resting:
+            self._resting.move_to_end(client)
+
+    def owed(self, client: _Client) -> None:
+        self._resting.pop(client, None)
+
+    def rests(self, client: _Client) -> None:
+        self._resting[client] = None
+        self._changed.set()
+
+    def ended(self, client: _Client) -> None:
+        self._clients.discard(client)
+        self._resting.pop(client, None)
+        self._changed.set()
+
+
+class _Client:
+    """One connection. It reads on while answers are due, so that a client's going is seen at once."""
+
+    def __init__(self, listener: Listener, wire: Wire) -> None:
+        self.wire = wire
+        self._listener = listener
+        self._agent = listener.agent
+        self._turns: deque[_Turn] = deque()
+        self._more = asyncio.Event()  # a turn came, or went
+        self._share: BodyShare | None = None  # of the request being read
+        self._begun = False  # part of a request has come
+        self._abort = False
+        self._answered_last = False
+        self._writer: asyncio.Task[None] | None = None
+        self._linger: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        self._task = asyncio.create_task(self._run())
+
+    def cancel(self) -> None:
+        self._task.cancel()
+
+    def end(self) -> None:
+        """Close if it is owed nothing and nothing of a request has come."""
+        if not self._turns and not self._begun and self.wire.quiet():
+            self.cancel()
+
+    async def _run(self) -> None:
+        try:
+            await self._read_requests()
+        except (_Gone, OSError, asyncio.CancelledError):
+            pass
+        except Exception:
+            log.exception("serving a client failed")
+            self._abort = True
+        finally:
+            self._finish()
+
+    def _finish(self) -> None:
+        if self._writer is not None:
+            self._writer.cancel()
+        if self._linger is not None:
+            self._linger.cancel()
+        if self._share is not None:
+            self._share.release()
+        for turn in self._turns:
+            self._drop(turn)
+        self._turns.clear()
+        self.wire.close(self._abort)
+        self._listener.ended(self)
+
+    def _drop(self, turn: _Turn) -> None:
+        """The client will not have this answer."""
+        if turn.share is not None:
+            turn.share.release()
+        if turn.held is not None:
+            self._agent.abandon(turn.held)
+        if turn.answer.done() and not turn.answer.cancelled():
+            stream = turn.answer.result().stream
+            if stream is not None:
+                stream.close()
+
+    # Requests
+
+    async def _read_requests(self) -> None:
+        rest = b""
+        while True:
+            while len(self._turns) >= PIPELINE_MOST:
+                self._more.clear()
+                await self._more.wait()
+            # Each request has a parser of its own: h11 reads no further on one while an answer is due.
+            parser = h11.Connection(h11.SERVER, HEAD_MOST)
+            try:
+                last = await self._read_request(parser, rest)
+            except BadRequest as bad:
+                self._push_text(parser, bad.status, str(bad))
+                last = True
+            if last:
+                await self._discard()
+            rest = parser.trailing_data[0]
+
+    async def _read_request(self, parser: h11.Connection, rest: bytes) -> bool:
+        """Read one request and take it. Returns whether it is the last of its connection."""
+        try:
+            head = await self._read_head(parser, rest)
+            call = None if _path(head) == READY else self._call(head)
+            body = call.body if call else bytearray()
+            share = self._share = self._listener.bodies.share()
+            await self._read_body(parser, head, body, share)
+        except h11.RemoteProtocolError as fault:
+            status = fault.error_status_hint
+            raise BadRequest(status, str(fault)) from None
+        self._share = None
+        self._begun = False
+        share.whole()
+        last = parser.their_state is h11.MUST_CLOSE
+        if call is None:
+            share.release()
+            self._push_text(parser, 503 if self._listener.closing else 200, "going away" if last else "ready")
+            self._turns[-1].last = last
+        else:
+            held = self._agent.take(call)
+            self._push(_Turn(parser, held.answer, share, held, last))
+        return last
+
+    async def _read_head(self, parser: h11.Connection, rest: bytes) -> h11.Request:
+        rest = rest.lstrip(b"\r\n")
+        if rest:
+            parser.receive_data(rest)
+            self._begun = True
+        while True:
+            event = parser.next_event()
+            if isinstance(event, h11.Request):
+                return event
+            if event is not h11.NEED_DATA:
+                raise _Gone
+            data = await self._receive()
+            if not self._begun:
+                # Empty lines ahead of a request are passed over (RFC 9112, 2.2).
+                data = data.lstrip(b"\r\n")
+            if data:
+                self._begun = True
+                parser.receive_data(data)
+
+    def _call(self, head: h11.Request) -> Call:
+        return parse_call(head, self._agent)
+
+    async def _read_body(
+        self, parser: h11.Connection, head: h11.Request, body: bytearray, share: BodyShare
+    ) -> None:
+        if (content_length(head.headers) or 0) > BODY_MOST:
+            raise BadRequest(413, "the body is too long")
+        if parser.they_are_waiting_for_100_continue and not self._turns:
+            reply = parser.send(h11.InformationalResponse(status_code=100, headers=[]))
+            await self.wire.send(reply or b"", STALL_S)
+        while True:
+            event = parser.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if isinstance(event, h11.Data):
+                body += event.data
+                share.add(len(event.data))
+                if len(body) > BODY_MOST:
+                    raise BadRequest(413, "the body is too long")
+            elif event is h11.NEED_DATA:
+                await share.room()
+                parser.receive_data(await self._receive())
+            else:
+                raise _Gone
+
+    async def _receive(self) -> bytes:
+        """The next bytes of the client. Raises _Gone at their end, BadRequest if a begun request stands
+        still."""
+        try:
+            async with asyncio.timeout(PARTIAL_S if self._begun else None):
+                data = await self.wire.receive()
+                while data and self._answered_last:
+                    # Risk: a request read now would run, and its answer could not be written.
+                    data = await self.wire.receive()
+        except TimeoutError:
+            raise BadRequest(408, "the request did not come whole") from None
+        if not data:
+            raise _Gone
+        self._listener.heard(self)
+        return data
+
+    async def _discard(self) -> None:
+        """Read on past the last request, so that the client's going is seen."""
+        while await self.wire.receive():
+            pass
+        raise _Gone
+
+    # Answers
+
+    def _push(self, turn: _Turn) -> None:
+        if not self._turns:
+            self._listener.owed(self)
+        self._turns.append(turn)
+        self._more.set()
+        if self._writer is None:
+            self._writer = asyncio.create_task(self._write_answers())
+
+    def _push_text(self, parser: h11.Connection, status: int, text: str) -> None:
+        answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        answer.set_result(Answer(status, [], text.encode("latin-1", "replace") + b"\n"))
+        self._push(_Turn(parser, answer, last=status not in (200, 503)))
+
+    async def _write_answers(self) -> None:
+        try:
+            while True:
+                while not self._turns:
+                    self._more.clear()
+                    await self._more.wait()
+                if await self._write_answer(self._turns[0]):
+                    break
+                self._done()
+        except (OSError, BrokenAnswer):
+            # Risk: the client would take what has come for the whole.
+            self._abort = True
+            self.cancel()
+            return
+        except Exception:
+            log.exception("answering a client failed")
+            self._abort = True
+            self.cancel()
+            return
+        # The last answer: say so, and give the client time to read it before the connection goes.
+        self._done()
+        self._answered_last = True
+        self.wire.shutdown(socket.SHUT_WR)
+        self._linger = asyncio.get_running_loop().call_later(LINGER_S, self.cancel)
+
+    def _done(self) -> None:
+        turn = self._turns.popleft()
+        if turn.share is not None:
+            turn.share.release()
+        self._more.set()
+        if not self._turns:
+            self._listener.rests(self)
+
+    async def _write_answer(self, turn: _Turn) -> bool:
+        """Write the next answer; whether the connection ends with it."""
+        answer = await turn.answer
+        if turn.share is not None:
+            turn.share.release()
+        turn.share = self._listener.bodies.share()
+        turn.share.add(len(answer.body))
+        close = turn.last or (self._listener.closing and len(self._turns) == 1)
+        headers = _headers(answer, close)
+        parser = turn.parser
+        if answer.stream is None:
+            await self.wire.send(_whole(parser, answer, headers), STALL_S)
+            return parser.our_state is not h11.DONE
+        if parser.their_http_version == b"1.0" and answer.stream.length is None:
+            # Risk: HTTP/1.0 has no framing that shows such an answer broken off.
+            answer.stream.close()
+            await self.wire.send(_whole(parser, failure(), _headers(failure(), True)), STALL_S)
+            return True
+        response = h11.Response(status_code=answer.status, headers=headers)
+        await self.wire.send(parser.send(response) or b"", STALL_S)
+        while piece := await answer.stream.read():
+            for part in parser.send_with_data_passthrough(h11.Data(data=piece)) or []:
+                await self.wire.send(part, STALL_S)
+        await self.wire.send(parser.send(h11.EndOfMessage()) or b"", STALL_S)
+        return parser.our_state is not h11.DONE
+
+
+def _whole(parser: h11.Connection, answer: Answer, headers: Headers) -> bytes:
+    response = h11.Response(status_code=answer.status, headers=headers)
+    return frame(parser, response, h11.Data(data=bytes(answer.body)), h11.EndOfMessage())
+
+
+def _headers(answer: Answer, close: bool) -> Headers:
+    headers = list(answer.headers)
+    if answer.stream is None:
+        headers.append((b"Content-Length", b"%d" % len(answer.body)))
+    elif answer.stream.length is not None:
+        headers.append((b"Content-Length", b"%d" % answer.stream.length))
+    if close:
+        headers.append((b"Connection", b"close"))
+    return headers
+
+
+def _path(head: h11.Request) -> bytes:
+    return head.target.partition(b"?")[0]
+
+
+def parse_call(head: h11.Request, agent: Agent) -> Call:
+    """What a request says. What is wrong with it is answered here, and reaches no module and no backend."""
+    if head.method not in (b"GET", b"POST"):
+        raise BadRequest(405, "the method is neither GET nor POST")
+    path, _, query = head.target.partition(b"?")
+    class_name = unquote(path.decode("ascii")).removeprefix("/").partition("/")[0]
+    if not path.startswith(b"/") or not agent.knows(class_name):
+        raise BadRequest(404, "the path names no class of request")
+    if not TOKEN.fullmatch(_one(head, b"x-call-id") or b""):
+        raise BadRequest(400, "X-Call-Id is missing or unreadable")
+    budget = BUDGET.fullmatch(_one(head, b"x-budget") or b"")
+    if budget is None:
+        raise BadRequest(400, "X-Budget is missing or unreadable")
+    cost = _one(head, b"x-call-cost") or b""
+    keys = parse_qs(query.decode("ascii")).get("k", [""])
+    return Call(
+        class_name=class_name,
+        budget_us=int(float(budget[1]) * BUDGET_UNITS_US[budget[2]]),
+        method=head.method,
+        target=head.target,
+        headers=[(name, value) for name, value in end_to_end(head.headers) if name != b"x-budget"],
+        key=keys[0],
+        tenant=(_one(head, b"x-caller") or b"").decode("latin-1"),
+        cost_hint_us=int(cost) if cost.isdigit() and len(cost) <= 12 else 0,
+        is_retry=_one(head, b"x-again") == b"1",
+    )
+
+
+def _one(head: h11.Request, name: bytes) -> bytes | None:
+    """A header's value, if it is there once."""
+    values = [value for found, value in head.headers if found == name]
+    return values[0] if len(values) == 1 else None
--- /dev/null
+++ b/clayscale/net/upstream.py
@@ -0,0 +1,336 @@
+"""The backend side: one attempt on one backend ends in one outcome. Idle connections are kept per address.
+
+Nothing here sends a request again once its last byte may have left. What breaks before that never ran.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+
+import h11
+
+from aspentrail.interface import Outcome
+from clayscale.messages import Address, Answer, BrokenAnswer, Call, Ended, Stream
+from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, Wire, content_length, end_to_end
+
+log = logging.getLogger(__name__)
+
+WHOLE_MOST = 65_536  # answers up to this are held back until whole, so that a broken one can be tried again
+STALL_S = 10.0  # a long answer that brings nothing for so long is broken; backends may take seconds over one
+MOMENT_S = 0.005  # what a reset needs to come back after all but the last byte: a trip, and a busy peer
+REST_OF_REFUSAL_S = 0.25  # for the body of an answer whose status is all that counts, to keep its connection
+IDLE_SHARE = 0.8  # of the backend's idle limit: what has rested longer is not used again
+
+
+class NoDescriptor(Exception):
+    """All descriptors for backends are in use by attempts under way."""
+
+
+class _Stale(Exception):
+    """A rested connection spoke before it was asked."""
+
+
+class Upstream:
+    """Connections to backends: those in use are counted, those at rest watched for their end."""
+
+    def __init__(self, descriptors: int, idle_us: int, connect_timeout_us: int) -> None:
+        self._descriptors = descriptors
+        self._idle_s = idle_us * IDLE_SHARE / 1e6
+        self._connect_timeout_s = connect_timeout_us / 1e6 or None
+        self._idle: dict[Address, deque[tuple[float, Wire]]] = {}  # each oldest first
+        self.open = 0
+        self.opened = 0
+
+    async def attempt(self, call: Call, address: Address, timeout_us: int, fit: Callable[[], bool]) -> Ended:
+        """Send the request to this backend, once, and tell what came of it. `fit` tells whether something
+        new may still go there."""
+        exchange = _Exchange(self, call, address, timeout_us, fit)
+        try:
+            async with asyncio.timeout(max(0, timeout_us) / 1e6):
+                return await exchange.run()
+        except TimeoutError:
+            return Ended(Outcome.TIMEOUT if exchange.sent else Outcome.UNREACHABLE)
+        except NoDescriptor:
+            return Ended(Outcome.UNSENT)
+
+    # Connections
+
+    def take_idle(self, address: Address) -> Wire | None:
+        """The connection that rested shortest and shows no end and no stray bytes."""
+        resting = self._idle.get(address)
+        while resting:
+            since, wire = resting.pop()
+            self._unwatch(wire)
+            if not resting:
+                del self._idle[address]
+            if time.monotonic() - since < self._idle_s and wire.quiet():
+                return wire
+            self.drop(wire)
+        return None
+
+    async def connect(self, address: Address) -> Wire:
+        """A new connection. Raises OSError, TimeoutError too, or NoDescriptor."""
+        if self.open >= self._descriptors and not self._drop_oldest_idle():
+            raise NoDescriptor
+        self.open += 1
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError:
+            self.open -= 1
+            raise
+        wire = Wire(sock)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER)
+            async with asyncio.timeout(self._connect_timeout_s):
+                await asyncio.get_running_loop().sock_connect(sock, address)
+        except BaseException:
+            self.drop(wire)
+            raise
+        self.opened += 1
+        return wire
+
+    def rest(self, address: Address, wire: Wire) -> None:
+        """Keep a connection for the next request, and drop it at whatever the backend says meanwhile."""
+        self._retire()
+        self._idle.setdefault(address, deque()).append((time.monotonic(), wire))
+        asyncio.get_running_loop().add_reader(wire.sock, self._ended_at_rest, address, wire)
+
+    def drop(self, wire: Wire, abort: bool = False) -> None:
+        if not wire.closed:
+            self.open -= 1
+            wire.close(abort)
+
+    def close(self) -> None:
+        """Drop all that rests."""
+        while self._drop_oldest_idle():
+            pass
+
+    def _unwatch(self, wire: Wire) -> None:
+        asyncio.get_running_loop().remove_reader(wire.sock)
+
+    def _ended_at_rest(self, address: Address, wire: Wire) -> None:
+        # Risk: an answer that comes late, or an end that went unseen, would meet the next request.
+        resting = self._idle[address]
+        self._idle[address] = deque(item for item in resting if item[1] is not wire)
+        if not self._idle[address]:
+            del self._idle[address]
+        self.drop(wire)
+
+    def _retire(self) -> None:
+        """Drop what has rested too long, at every address. Risk: backends that are gone leave theirs."""
+        oldest = time.monotonic() - self._idle_s
+        for address, resting in list(self._idle.items()):
+            while resting and resting[0][0] < oldest:
+                self.drop(resting.popleft()[1])
+            if not resting:
+                del self._idle[address]
+
+    def _drop_oldest_idle(self) -> bool:
+        if not self._idle:
+            return False
+        address = min(self._idle, key=lambda address: self._idle[address][0][0])
+        resting = self._idle[address]
+        self.drop(resting.popleft()[1])
+        if not resting:
+            del self._idle[address]
+        return True
+
+
+class _Exchange:
+    """One request and its answer."""
+
+    def __init__(
+        self, upstream: Upstream, call: Call, address: Address, timeout_us: int, fit: Callable[[], bool]
+    ) -> None:
+        self._upstream = upstream
+        self._call = call
+        self._address = address
+        self._timeout_us = timeout_us
+        self._fit = fit
+        self.sent = False  # the last byte may have left: from here on the request may run
+
+    async def run(self) -> Ended:
+        wire = self._upstream.take_idle(self._address)
+        if wire is not None:
+            ended = await self._on(wire, rested=True)
+            if ended is not None:
+                return ended
+        if not self._fit():
+            return Ended(Outcome.UNREACHABLE)
+        try:
+            wire = await self._upstream.connect(self._address)
+        except OSError:
+            return Ended(Outcome.UNREACHABLE)
+        return await self._on(wire, rested=False) or Ended(Outcome.UNREACHABLE)
+
+    async def _on(self, wire: Wire, rested: bool) -> Ended | None:
+        """The exchange on this connection; None if it broke before the request's last byte was written."""
+        parser = h11.Connection(h11.CLIENT, HEAD_MOST)
+        writer = asyncio.create_task(self._write(wire, self._frame(parser)))
+        reader = _AnswerReader(self, parser, wire, writer, rested)
+        try:
+            ended = await reader.run()
+        except (OSError, h11.ProtocolError, _Stale):
+            reader.close()
+            return Ended(Outcome.RESET) if self.sent else None
+        except BaseException:
+            reader.close()
+            raise
+        return ended
+
+    def _frame(self, parser: h11.Connection) -> list[bytes | memoryview]:
+        """The request in pieces, the last of them its last byte."""
+        call = self._call
+        headers = [*call.headers, (b"X-Budget", b"%du" % self._timeout_us)]
+        if call.body or call.method != b"GET":
+            headers.append((b"Content-Length", b"%d" % len(call.body)))
+        head = parser.send(h11.Request(method=call.method, target=call.target, headers=headers))
+        assert head is not None
+        body = memoryview(call.body)
+        if body:
+            parser.send_with_data_passthrough(h11.Data(data=body))  # type: ignore[arg-type]
+        parser.send(h11.EndOfMessage())
+        if not body:
+            return [head[:-1], head[-1:]]
+        return [head, body[:-1], body[-1:]]
+
+    async def _write(self, wire: Wire, pieces: list[bytes | memoryview]) -> None:
+        """Risk: a connection that rested, or is reset as soon as it is up, takes the whole request before the
+        reset shows, and then the request may have run. So the last byte waits a moment by itself."""
+        *most, last = pieces
+        with contextlib.suppress(OSError):  # the reader sees the break too, and any answer before it
+            for piece in most:
+                await wire.send(piece)
+            await asyncio.sleep(MOMENT_S)
+            if not self._fit():
+                # Risk: a drain broken by a request that was long on its way.
+                wire.shutdown(socket.SHUT_RDWR)
+                return
+            self.sent = True
+            try:
+                await wire.send(last)
+            except OSError:
+                self.sent = False
+                raise
+
+    def keep(self, wire: Wire) -> None:
+        self._upstream.rest(self._address, wire)
+
+    def drop(self, wire: Wire) -> None:
+        self._upstream.drop(wire)
+
+
+class _AnswerReader(Stream):
+    """Reads one answer: a short one whole, of a long one the beginning, and then as a Stream the rest."""
+
+    def __init__(
+        self,
+        exchange: _Exchange,
+        parser: h11.Connection,
+        wire: Wire,
+        writer: asyncio.Task[None],
+        rested: bool,
+    ) -> None:
+        self._exchange = exchange
+        self._parser = parser
+        self._wire = wire
+        self._writer = writer
+        self._rested = rested
+        self._first: bytearray = bytearray()
+        self.length: int | None = None
+
+    async def run(self) -> Ended:
+        response = await self._response()
+        if response.status_code != 200:
+            await self._skip_body()
+            return Ended(_outcome(response))
+        headers = end_to_end(response.headers)
+        self.length = content_length(response.headers)
+        body = self._first
+        while True:
+            event = await self._event()
+            if isinstance(event, h11.EndOfMessage):
+                self._done()
+                return Ended(Outcome.OK, Answer(200, headers, body))
+            body += event.data
+            if len(body) > WHOLE_MOST or (self.length or 0) > WHOLE_MOST:
+                return Ended(Outcome.OK, Answer(200, headers, stream=self))
+
+    async def read(self) -> bytes:
+        if self._first:
+            first, self._first = self._first, bytearray()
+            return bytes(first)
+        if self._wire.closed:
+            return b""
+        try:
+            async with asyncio.timeout(STALL_S):
+                event = await self._event()
+        except (OSError, h11.ProtocolError) as fault:  # TimeoutError is an OSError
+            self.close()
+            raise BrokenAnswer from fault
+        if isinstance(event, h11.EndOfMessage):
+            self._done()
+            return b""
+        return event.data
+
+    def close(self) -> None:
+        self._writer.cancel()
+        self._exchange.drop(self._wire)
+
+    async def _response(self) -> h11.Response:
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise h11.RemoteProtocolError("no answer came")
+
+    async def _event(self) -> h11.Data | h11.EndOfMessage:
+        event = await self._next()
+        if isinstance(event, (h11.Data, h11.EndOfMessage)):
+            return event
+        raise h11.RemoteProtocolError("the answer broke off")
+
+    async def _next(self) -> h11.Event | type[h11.PAUSED]:
+        while True:
+            event = self._parser.next_event()
+            if not isinstance(event, type) or event is h11.PAUSED:
+                return event
+            data = await self._wire.receive()
+            if data and self._rested and not self._exchange.sent:
+                # Risk: an answer to an earlier request, come late, would be taken for this one's.
+                raise _Stale
+            self._parser.receive_data(data)
+
+    async def _skip_body(self) -> None:
+        """The status has told all; the rest decides only whether the connection can be kept."""
+        try:
+            async with asyncio.timeout(REST_OF_REFUSAL_S):
+                for _ in range(1 + WHOLE_MOST // 64):
+                    if isinstance(await self._event(), h11.EndOfMessage):
+                        self._done()
+                        return
+        except (OSError, h11.ProtocolError):
+            pass
+        self.close()
+
+    def _done(self) -> None:
+        """The answer is whole. The connection is kept only if both messages are, and nothing is left over."""
+        parser = self._parser
+        whole = parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        if whole and self._exchange.sent and self._writer.done() and not parser.trailing_data[0]:
+            self._exchange.keep(self._wire)
+        else:
+            self.close()
+
+
+def _outcome(response: h11.Response) -> Outcome:
+    """What a status other than 200 says. Only the backend's own word proves that nothing ran."""
+    rejected = any(name == b"x-rejected" and value == b"1" for name, value in response.headers)
+    return Outcome.REJECTED if rejected and response.status_code in (503, 504) else Outcome.ERROR
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Lint, types and tests from pinned tools, in a venv of its own: the one test command.
+set -euo pipefail
+cd "$(dirname "$0")"
+stamp=.venv/dev-$(cat requirements.txt requirements-dev.txt | sha256sum | cut -c1-12)
+if [ ! -e "$stamp" ]; then
+    python3 -m venv .venv
+    .venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+    touch "$stamp"
+fi
+.venv/bin/ruff check .
+.venv/bin/mypy
+.venv/bin/python -m pytest -q -p no:cacheprovider
--- /dev/null
+++ b/tests/test_estimate.py
@@ -0,0 +1,101 @@
+"""The estimate's arithmetic, against values worked by hand."""
+
+from math import exp
+
+import pytest
+
+from aspentrail.interface import Backend, Outcome
+from aspentrail.rules import LET_THROUGH, PENALTY, Recent, Server, Usual
+from tests.helpers import SAFE, balancer, ended, request, sends
+
+
+def server(decay_us: float = 1_000_000.0) -> Server:
+    return Server(Backend("b"), Recent(1.0, 1e12), 9_000_000, decay_us)
+
+
+def test_a_sample_above_the_projection_replaces_it() -> None:
+    one = server()
+    one.observe(3.0, 1)
+    assert one.estimate == 3.0
+    one.observe(2.5, 1_000_001)  # projected: 1 + 2/e = 1.74
+    assert one.estimate == 2.5
+
+
+def test_a_sample_below_the_projection_is_blended_in() -> None:
+    one = server()
+    one.observe(4.0, 1)
+    one.observe(1.0, 500_001)
+    weight = exp(-0.5)
+    assert one.estimate == pytest.approx(4.0 * weight + 1.0 * (1.0 - weight))
+
+
+def test_the_projection_fades_to_the_kind_and_not_to_zero() -> None:
+    one = server()
+    one.kind.value = one.kind.usual.value = 2.0
+    one.observe(6.0, 1)
+    assert one.project(1_000_001) == pytest.approx(2.0 + 4.0 * exp(-1.0))
+    assert one.project(60_000_001) == pytest.approx(2.0)
+
+
+def test_an_unseen_server_stands_as_its_kind_does() -> None:
+    one = server()
+    one.kind.value = one.kind.usual.value = 1.7
+    assert one.project(5) == pytest.approx(1.7)
+    assert one.load(5) == pytest.approx(1.7)
+
+
+def test_load_is_latency_times_pending_and_one() -> None:
+    one = server()
+    one.observe(3.0, 10)
+    one.pending[(1, 0)] = (10, 1000.0)
+    one.pending[(2, 0)] = (10, 1000.0)
+    assert one.load(10) == pytest.approx(9.0)
+
+
+def test_the_age_of_the_oldest_pending_attempt_is_a_lower_bound() -> None:
+    one = server()
+    one.observe(1.0, 0)
+    one.pending[(1, 0)] = (0, 10_000.0)
+    assert one.load(200_000) == pytest.approx(20.0 * 2)
+    assert one.forecast(200_000) == pytest.approx(20.0)
+
+
+def test_usual_leans_to_the_low_samples() -> None:
+    usual = Usual(5.0)
+    for _ in range(200):
+        usual.add(1.0)
+        usual.add(3.0)
+    assert 1.0 < usual.value < 1.8
+
+
+def test_recent_falls_back_to_the_usual_value() -> None:
+    recent = Recent(1.0, 1_000_000.0)
+    for _ in range(20):
+        recent.add(1.0, 0)
+    for _ in range(20):
+        recent.add(9.0, 0)
+    high = recent.read(0)
+    usual = recent.usual.value
+    assert high > 5.0
+    assert recent.read(1_000_000) == pytest.approx(usual + (high - usual) * exp(-1.0))
+
+
+@pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.RESET])
+def test_a_fast_failure_enters_as_the_penalty(outcome: Outcome) -> None:
+    """Without it a dead server's tiny elapsed times would draw every pick."""
+    made = balancer(2)
+    (target,) = sends(request(made, 1, SAFE, 0))
+    ended(made, 1, 0, outcome, 1_000, elapsed_us=200)
+    assert made.servers[target].estimate >= PENALTY
+
+
+def test_a_withdrawn_attempt_is_never_a_reason_to_think_better_of_a_server() -> None:
+    made = balancer(2)
+    (target,) = sends(request(made, 1, SAFE, 0))
+    before = made.servers[target].project(1_000)
+    ended(made, 1, 0, Outcome.CANCELLED, 1_000, elapsed_us=1_000)
+    assert made.servers[target].project(1_000) >= before
+
+
+def test_the_let_through_share_is_small() -> None:
+    assert 0 < LET_THROUGH < 0.2
