Reload on SIGHUP; refuse ambiguous framing and open ids; bound what clients hold

Checked: no handler for SIGHUP in __main__.serve, and the environment's address of discovery would have won over the new file's (config.load); h11 takes the chunked body of a head with both lengths (listener._read_request passed its remains on as the next request).

- SIGHUP loads and checks the file whole, swaps settings, limits and the watch; requests stay.
The earlier watch is heard until the new one speaks.
- A head with two lengths, a chunked 1.0 request, a GET with a body, a method or key that is not the class's, an id that is open: refused, nothing sent.
- A request has 2.4 s to come whole (was 10 s from byte to byte, owed: 3 s); silent connections go first when places run out; idle ones after 10 s.
- Reads yield to the loop, and what follows the last request is read to 256 KiB.
- Bodies 64 KiB (was 32 MB, the protocol's limit is 64 KiB), heads 16 KiB.
- SIGTERM waits for the longest deadline of the settings, not for 3.2 s.
- An attempt cancelled before its first step is told (agent._attempt ran none of its code then, and left its entry and the module's pending count).

--- a/aspentrail/rules.py
+++ b/aspentrail/rules.py
@@ -154,18 +154,12 @@
         self.settings = settings
         self.random = Random(seed).random
         self.started = now
-        self.classes = {cls.name: cls for cls in settings.classes}
+        self.usual: dict[str, Usual] = {}
+        self.hints: dict[str, Usual] = {}
         aims = [cls.aim_us for cls in settings.classes]
         self.decay_us = DECAY_AIMS * sum(aims) / len(aims)
         self.recent_us = RECENT_AIMS * sum(aims) / len(aims)
-        # Before its first answer a class is taken to need a third of its aim; that answer replaces the guess.
-        self.usual = {cls.name: Usual(cls.aim_us / 3) for cls in settings.classes}
-        self.hints = {cls.name: Usual(0.0) for cls in settings.classes}
-        by_work = settings.worth_by_work
-        value = {cls.name: cls.worth / (1 if by_work else cls.aim_us) for cls in settings.classes}
-        self.dearest = max(settings.classes, key=lambda cls: value[cls.name])
-        top = value[self.dearest.name] or 1.0
-        self.rank = {name: worth / top for name, worth in value.items()}
+        self._adopt_classes(settings)
         self.common_us = 0.0  # the usual latency of a request of any class
         self.late = Recent(0.0, self.recent_us)  # share of recent attempts that missed their aim
         self.kinds: dict[str, Recent] = {}
@@ -179,6 +173,27 @@
         self.asking = False
         self.ask_failures = 0
 
+    def _adopt_classes(self, settings: api.Settings) -> None:
+        """Before its first answer a class is taken to need a third of its aim; that answer replaces the
+        guess."""
+        self.classes = {cls.name: cls for cls in settings.classes}
+        for cls in settings.classes:
+            self.usual.setdefault(cls.name, Usual(cls.aim_us / 3))
+            self.hints.setdefault(cls.name, Usual(0.0))
+        by_work = settings.worth_by_work
+        value = {cls.name: cls.worth / (1 if by_work else cls.aim_us) for cls in settings.classes}
+        self.dearest = max(settings.classes, key=lambda cls: value[cls.name])
+        top = value[self.dearest.name] or 1.0
+        self.rank = {name: worth / top for name, worth in value.items()}
+
+    def on_settings(self, settings: api.Settings, now: int) -> list[api.Action]:
+        """Other settings, from now on. What was learnt of servers and classes stays; requests held keep the
+        terms that they came under."""
+        self.settings = settings
+        self._adopt_classes(settings)
+        self._choose_slice(now)
+        return []
+
     # Keeping up with the list of servers
 
     def start(self) -> list[api.Action]:
@@ -399,9 +414,10 @@
         # All classes wait in the same queues, so the wait that each may expect is laddered by worth below
         # that of the dearest, and what has no room of its own goes first. Risk: the class of longest usual
         # latency makes way for cheaper ones.
+        rank = self.rank.get(cls.name, 1.0)  # the class may have left the settings since
         room_us = min(
             cls.aim_us - self.usual[cls.name].value,
-            (dearest.aim_us - self.usual[dearest.name].value) * self.rank[cls.name],
+            (dearest.aim_us - self.usual[dearest.name].value) * rank,
         )
         tolerance = max(1.0, (LATE + cls.late_worth) / (self.late.read(now) + 1e-9))
         # A repeat has spent at least the time it was told to stay away.
--- a/clayscale/__main__.py
+++ b/clayscale/__main__.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import time
+from collections.abc import Mapping
 
 from clayscale.agent import Agent
 from clayscale.config import BadConfig, Config, load
@@ -16,6 +17,8 @@
 from clayscale.net.listener import Listener
 from clayscale.net.upstream import Upstream
 
+log = logging.getLogger("clayscale")
+
 LOG_SPAN_S = 10.0
 LOG_MOST = 20  # lines in a span. Risk: a log that grows with every failure, where files are memory
 
@@ -39,30 +42,54 @@
         return self._count <= LOG_MOST
 
 
+def reload(environ: Mapping[str, str], agent: Agent, listener: Listener) -> None:
+    """Put a new configuration in force, or keep the old one. Requests under way go on either way."""
+    try:
+        config = load(environ, again=True)
+    except BadConfig as fault:
+        log.error("the new configuration is not used: %s", " ".join(str(fault).split()))
+        return
+    agent.reload(config)
+    listener.resize(Descriptors(config.sockets).clients, config.memory_bytes)
+    log.warning("a new configuration is in force: discovery %s:%d", *config.discovery)
+
+
 async def serve(config: Config) -> None:
     """Run until SIGTERM, then finish what is owed."""
     descriptors = Descriptors(config.sockets)
     upstream = Upstream(descriptors.backends, config.idle_us, config.settings.connect_timeout_us)
     agent = Agent(config, upstream)
     going_away = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, going_away.set)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, going_away.set)
     try:
         listener = Listener(agent, config.listen, descriptors.clients, BodyBudget(config.memory_bytes))
     except OSError as fault:
         raise BadConfig(f"listen: {config.listen[0]}:{config.listen[1]}: {fault.strerror}") from None
+    loop.add_signal_handler(signal.SIGHUP, reload, os.environ, agent, listener)
     agent.start()
+    log.info(
+        "%s: %d MB, %d descriptors, settings %s",
+        config.name, config.memory_bytes >> 20, config.sockets, config.settings,
+    )  # fmt: skip
     await going_away.wait()
     await listener.close()
     agent.close()
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload; left alone, it kills
     handler = logging.StreamHandler()
     handler.addFilter(Sparse())
-    logging.basicConfig(format="%(asctime)s %(levelname)s %(name)s: %(message)s", handlers=[handler])
-    # What is loaded by now stays; young garbage goes by reference counts, so cycles need little looking for.
+    logging.basicConfig(
+        level=logging.INFO,
+        format="%(asctime)s %(levelname)s %(name)s: %(message)s",
+        handlers=[handler],
+    )
+    # What is loaded by now stays. Risk: exceptions and tasks make cycles, and one that is looked for too
+    # seldom keeps buffers and bodies with it; a full collection of the rest takes a few milliseconds.
     gc.freeze()
-    gc.set_threshold(10_000, 20, 50)
+    gc.set_threshold(5_000, 10, 10)
     try:
         config = load(os.environ)
         asyncio.run(serve(config))
--- a/clayscale/agent.py
+++ b/clayscale/agent.py
@@ -6,12 +6,13 @@
 import logging
 import time
 from collections.abc import Callable
-from typing import NamedTuple, TypeVar
+from typing import TypeVar
 
 from aspentrail import interface as api
 from aspentrail.rules import Balancer
 from clayscale.config import Config
 from clayscale.messages import Answer, BrokenAnswer, Call, Ended, Stream
+from clayscale.net.budget import Descriptors
 from clayscale.net.discovery import Directory, Discovery, Update
 from clayscale.net.upstream import Upstream
 
@@ -21,8 +22,10 @@
 DEADLINE_MARGIN_US = 5_000
 # Given to the module past its deadline before the agent answers in its place; the rules' slack is longer.
 OVERDUE_US = 10_000
+# When all places for requests are taken; about how long a request holds one.
+FULL_RETRY_AFTER_US = 500_000
 
-E = TypeVar("E", bound=NamedTuple)
+E = TypeVar("E")
 
 
 class Clock:
@@ -38,14 +41,13 @@
 class Held:
     """A request that is owed its final answer."""
 
-    __slots__ = ("answer", "attempts", "call", "id", "open", "overdue")
+    __slots__ = ("answer", "attempts", "call", "id", "overdue")
 
     def __init__(self, number: int, call: Call, answer: asyncio.Future[Answer]) -> None:
         self.id = number
         self.call = call
         self.answer = answer
         self.attempts = 0
-        self.open: dict[int, asyncio.Task[None]] = {}
         self.overdue: asyncio.TimerHandle | None = None
 
 
@@ -58,13 +60,14 @@
         self._clock = Clock()
         self._loop = asyncio.get_running_loop()
         self._balancer = Balancer(config.settings, config.seed, self._clock())
-        self._classes = {cls.name for cls in config.settings.classes}
+        self._classes = {cls.name: cls for cls in config.settings.classes}
         self._directory = Directory()
         self._discovery = Discovery(
             config.discovery, config.known.revision, self._on_update, self._on_failure
         )
         self._held: dict[int, Held] = {}
-        self._running: dict[tuple[int, int], asyncio.Task[None]] = {}
+        self._open_ids: set[bytes] = set()  # of the held requests, as their clients named them
+        self._running: dict[tuple[int, int], asyncio.Task[Ended]] = {}
         self._count = 0
 
     def start(self) -> None:
@@ -73,6 +76,18 @@
         self._directory.apply(known)
         self._tell(self._balancer.on_list, api.BackendList(api.ListKind.CACHED, known.backends))
 
+    def reload(self, config: Config) -> None:
+        """Go by another configuration. What is held goes on, under the terms it was taken on."""
+        if config.listen != self._config.listen:
+            log.warning("listen is another address; that takes a restart")
+        self._config = config
+        self._classes = {cls.name: cls for cls in config.settings.classes}
+        self._tell(self._balancer.on_settings, config.settings)
+        self._upstream.resize(
+            Descriptors(config.sockets).backends, config.idle_us, config.settings.connect_timeout_us
+        )
+        self._discovery.move(config.discovery)
+
     def close(self) -> None:
         self._discovery.close()
         for task in self._running.values():
@@ -84,8 +99,16 @@
         """How many requests still wait for their final answer."""
         return len(self._held)
 
-    def knows(self, class_name: str) -> bool:
-        return class_name in self._classes
+    @property
+    def longest_deadline_us(self) -> int:
+        return max(cls.deadline_us for cls in self._classes.values())
+
+    def request_class(self, name: str) -> api.RequestClass | None:
+        return self._classes.get(name)
+
+    def has_open(self, client_id: bytes) -> bool:
+        """Whether a request under this id still waits for its answer."""
+        return client_id in self._open_ids
 
     # Events
 
@@ -95,9 +118,10 @@
         self._count += 1
         held = Held(self._count, call, self._loop.create_future())
         if len(self._held) >= self._config.most_held:
-            held.answer.set_result(refusal(0))
+            held.answer.set_result(refusal(FULL_RETRY_AFTER_US))
             return held
         self._held[held.id] = held
+        self._open_ids.add(call.client_id)
         left_us = call.budget_us - DEADLINE_MARGIN_US
         held.overdue = self._loop.call_later((left_us + OVERDUE_US) / 1e6, self._overdue, held)
         event = api.Request(
@@ -171,6 +195,7 @@
         """It is owed nothing more. False if it was not owed anything."""
         if self._held.pop(held.id, None) is None:
             return False
+        self._open_ids.discard(held.call.client_id)
         if held.overdue is not None:
             held.overdue.cancel()
         return True
@@ -189,19 +214,24 @@
             return
         key = (held.id, held.attempts)
         held.attempts += 1
-        self._running[key] = asyncio.create_task(self._attempt(held, key, action))
-
-    async def _attempt(self, held: Held, key: tuple[int, int], action: api.Send) -> None:
         started = self._clock()
-        try:
-            ended = await self._exchange(held.call, action)
-        except asyncio.CancelledError:
+        task = self._running[key] = asyncio.create_task(self._exchange(held.call, action))
+        task.add_done_callback(lambda done: self._attempted(held, key, done, self._clock() - started))
+
+    def _attempted(
+        self, held: Held, key: tuple[int, int], task: asyncio.Task[Ended], elapsed_us: int
+    ) -> None:
+        """Told however the task ends. Risk: one that is cancelled before its first step runs none of its own
+        code, and the module would count the attempt as pending for ever."""
+        del self._running[key]
+        if task.cancelled():
             ended = Ended(api.Outcome.CANCELLED)
-        except Exception:
-            log.exception("an attempt failed")
+        elif fault := task.exception():
+            log.error("an attempt failed", exc_info=fault)
             ended = Ended(api.Outcome.UNKNOWN)
-        del self._running[key]
-        self._ended(held, key, ended, self._clock() - started)
+        else:
+            ended = task.result()
+        self._ended(held, key, ended, elapsed_us)
 
     async def _exchange(self, call: Call, action: api.Send) -> Ended:
         backend = action.backend
--- a/clayscale/config.py
+++ b/clayscale/config.py
@@ -1,4 +1,4 @@
-"""What the agent is told at its start: the environment and a JSON file, checked once."""
+"""What the agent is told at its start and at each reload: the environment and a JSON file, checked whole."""
 
 from __future__ import annotations
 
@@ -37,8 +37,9 @@
     idle_us: int
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """The configuration that the environment names."""
+def load(environ: Mapping[str, str], again: bool = False) -> Config:
+    """The configuration that the environment names. `again`: at a reload the file alone tells where discovery
+    is, since the environment still says what held at the start."""
     path = environ.get(CONFIG)
     if not path:
         raise BadConfig(f"{CONFIG} is not set")
@@ -46,11 +47,11 @@
         table = json.loads(Path(path).read_bytes())
     except OSError as fault:
         raise BadConfig(f"{CONFIG}: {path}: {fault.strerror}") from None
-    except ValueError as fault:
+    except (ValueError, RecursionError) as fault:
         raise BadConfig(f"{CONFIG}: {path}: not JSON: {fault}") from None
     if not isinstance(table, dict):
         raise BadConfig(f"{CONFIG}: {path}: not an object")
-    for key in ("name", "listen", "discovery"):
+    for key in ("name", "listen") if again else ("name", "listen", "discovery"):
         if environ.get(f"BALANCER_{key.upper()}"):
             table[key] = environ[f"BALANCER_{key.upper()}"]
     return parse(table)
@@ -73,7 +74,7 @@
             most_held=_whole(rules_limits, "mostHeld", "settings.limits.mostHeld", 1),
             idle_us=_whole(rules_limits, "connIdleUs", "settings.limits.connIdleUs", 1),
         )
-    except (ValueError, TypeError) as fault:
+    except (ValueError, TypeError, OverflowError) as fault:  # JSON here knows Infinity and NaN
         raise BadConfig(f"settings: {fault}") from None
 
 
--- a/clayscale/messages.py
+++ b/clayscale/messages.py
@@ -15,6 +15,7 @@
 class Call:
     """A client's request, read to its last byte: what the module is told, and what backends are sent."""
 
+    client_id: bytes
     class_name: str
     budget_us: int
     method: bytes
--- a/clayscale/net/budget.py
+++ b/clayscale/net/budget.py
@@ -7,10 +7,11 @@
 OTHER_DESCRIPTORS = 32  # standard streams, the event loop's own, listener, discovery, and some to spare
 CLIENT_SHARE = 0.6  # of the rest; clients must never take what reaches backends
 
-BODY_MOST = 32 * 1024 * 1024  # the longest request body
-SMALL_BODY = 65_536  # what every request may hold without asking: small ones never wait behind long ones
-BASE_MEMORY = 80 * 1024 * 1024  # the interpreter, connections, small bodies and answers under way
-BODY_MEMORY_SHARE = 0.75  # of the rest; the allocator rounds up, and a growing body moves
+BODY_MOST = 65_536  # the longest body, of a request or an answer: the protocol's limit
+SMALL_BODY = 4_096  # what every request may hold without asking: small ones never wait behind long ones
+BASE_MEMORY = 28 * 1024 * 1024  # the interpreter, connections, small bodies and answers under way
+BODY_MEMORY_SHARE = 0.4  # of the rest; the allocator rounds up, a growing body moves, heads take some too
+BODY_MEMORY_LEAST = 32 * BODY_MOST  # 2 MB: below the least memory an agent is given, and enough to go on
 
 
 class Descriptors:
@@ -31,10 +32,15 @@
     """
 
     def __init__(self, memory_bytes: int) -> None:
-        self.most = max(BODY_MOST, int((memory_bytes - BASE_MEMORY) * BODY_MEMORY_SHARE))
         self.held = 0
         self._growing: dict[BodyShare, None] = {}  # longer than small, not yet whole: oldest first
         self._freed = asyncio.Event()
+        self.resize(memory_bytes)
+
+    def resize(self, memory_bytes: int) -> None:
+        """Take on another limit; what is held over a lower one goes as its requests end."""
+        self.most = max(BODY_MEMORY_LEAST, int((memory_bytes - BASE_MEMORY) * BODY_MEMORY_SHARE))
+        self._freed.set()
 
     def share(self) -> BodyShare:
         return BodyShare(self)
--- a/clayscale/net/discovery.py
+++ b/clayscale/net/discovery.py
@@ -5,8 +5,10 @@
 import asyncio
 import json
 import logging
+import re
 import socket
 from collections.abc import Callable
+from ipaddress import AddressValueError, IPv4Address
 from typing import Any, NamedTuple
 
 import h11
@@ -20,7 +22,8 @@
 PATH = "/registry/instances"
 HEARTBEAT_S = 2.0  # while nothing changes an empty line comes this often
 SILENCE_S = HEARTBEAT_S + 1.0  # longer is a break; what it would have told counts as told after 6 s of it
-LINE_MOST = 16 * 1024 * 1024  # tens of thousands of entries; a line without end is a break
+LINE_MOST = 2 * 1024 * 1024  # some ten thousand entries; a line without end is a break
+PORT = re.compile(r"[0-9]{1,5}")
 
 STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
 
@@ -39,10 +42,14 @@
 
 
 def parse_address(text: Any) -> Address:
-    host, colon, port = str(text).rpartition(":")
-    if not (colon and host and port.isdigit() and 0 < int(port) < 65_536):
-        raise Malformed(f"not an address: {text!r}")
-    return host, int(port)
+    """An IPv4 address and a port. Risk: a name would be looked up, and there is no DNS."""
+    host, _, port = str(text).rpartition(":")
+    try:
+        if PORT.fullmatch(port) and 0 < int(port) < 65_536:
+            return str(IPv4Address(host)), int(port)
+    except AddressValueError:
+        pass
+    raise Malformed(f"not an address: {str(text)[:80]!r}")
 
 
 def parse_update(value: Any) -> Update:
@@ -57,7 +64,7 @@
         return Update(int(value["revision"]), bool(value["complete"]), tuple(backends), addresses)
     except KeyError as missing:
         raise Malformed(f"{missing.args[0]} is missing") from None
-    except (TypeError, ValueError, AttributeError) as fault:
+    except (TypeError, ValueError, AttributeError, OverflowError) as fault:
         raise Malformed(str(fault)) from None
 
 
@@ -104,7 +111,8 @@
 
 
 class Discovery:
-    """At most one watch at a time. Each whole line goes to `on_update`; its end, however, to `on_failure`."""
+    """One watch, and beside it, only after a move, the earlier one. Each whole line goes to `on_update`; the
+    end of the watch, however it comes, to `on_failure`."""
 
     def __init__(
         self,
@@ -119,39 +127,58 @@
         self._on_update = on_update
         self._on_failure = on_failure
         self._watch: asyncio.Task[None] | None = None
+        self._earlier: asyncio.Task[None] | None = None  # at the address before the last move
 
     def subscribe(self) -> None:
         """Ask for changes from here on, in place of any earlier watch."""
         self.close()
         self._watch = asyncio.create_task(self._run())
 
+    def move(self, address: Address) -> None:
+        """Watch at another address from here on. The earlier watch is heard until the new one speaks. Risk:
+        what discovery tells while the new one waits its turn would be missed, a drain among it."""
+        if address == self._address:
+            return
+        self._address = address
+        self._drop_earlier()
+        self._earlier, self._watch = self._watch, asyncio.create_task(self._run())
+
     def close(self) -> None:
+        self._drop_earlier()
         if self._watch is not None:
             self._watch.cancel()
             self._watch = None
 
+    def _drop_earlier(self) -> None:
+        if self._earlier is not None:
+            self._earlier.cancel()
+            self._earlier = None
+
     async def _run(self) -> None:
         try:
-            await self._follow()
+            await self._follow(self._address)
             log.warning("the watch ended")
         except (OSError, h11.ProtocolError, Malformed) as fault:  # TimeoutError is an OSError
             log.warning("the watch broke: %s: %s", type(fault).__name__, fault)
         except Exception:
             log.exception("the watch failed")
+        if asyncio.current_task() is self._earlier:
+            self._earlier = None  # it was to end; the watch that took its place goes on
+            return
         self._watch = None
         self._on_failure()
 
-    async def _follow(self) -> None:
+    async def _follow(self, address: Address) -> None:
         loop = asyncio.get_running_loop()
         wire = Wire(socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK))
         try:
             async with asyncio.timeout(SILENCE_S):
-                await loop.sock_connect(wire.sock, self._address)
+                await loop.sock_connect(wire.sock, address)
             parser = h11.Connection(h11.CLIENT)
             request = h11.Request(
                 method="GET",
                 target=f"{PATH}?watch=1&after={self._after}",
-                headers=[("Host", "{}:{}".format(*self._address))],
+                headers=[("Host", "{}:{}".format(*address))],
             )
             await wire.send(frame(parser, request, h11.EndOfMessage()), SILENCE_S)
             await self._read(parser, wire)
@@ -181,6 +208,8 @@
                 return
 
     def _line(self, line: bytes) -> None:
+        if self._earlier is not None and asyncio.current_task() is not self._earlier:
+            self._drop_earlier()
         if not line.strip():
             return
         try:
--- a/clayscale/net/http.py
+++ b/clayscale/net/http.py
@@ -18,7 +18,8 @@
 
 RECEIVE_BYTES = 65_536  # read at once: a few pieces to the megabyte, and the most a stream holds
 SEND_BYTES = 65_536  # handed to the kernel at once, so that progress shows within a long body
-HEAD_MOST = 65_536  # the longest message head: long headers pass, a flood without end does not
+HEAD_MOST = 16_384  # the longest message head: heads here have hundreds of bytes, a flood has no end
+IN_A_ROW = 8  # reads that may succeed without a wait before the loop is let go on
 KERNEL_BUFFER = 131_072  # a socket's buffers. Risk: left to grow, they would hold megabytes a connection
 
 # Of one connection, not of the message (RFC 9110, 7.6.1); and the framing, which is made anew.
@@ -31,18 +32,23 @@
 class Wire:
     """A connected socket."""
 
-    __slots__ = ("_loop", "closed", "sock")
+    __slots__ = ("_in_a_row", "_loop", "closed", "sock")
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         self.closed = False
         self._loop = asyncio.get_running_loop()
+        self._in_a_row = 0
         # Risk: the last byte of a request, sent by itself, would wait for the peer's delayed acknowledgement.
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     async def receive(self) -> bytes:
-        """The next bytes, empty at the end of the peer's sending."""
+        """The next bytes, empty at the end of the peer's sending. Risk: asyncio's read does not suspend while
+        bytes are there, so a peer that sends as fast as it is read would have the loop to itself."""
+        self._in_a_row += 1
+        if self._in_a_row % IN_A_ROW == 0:
+            await asyncio.sleep(0)
         return await self._loop.sock_recv(self.sock, RECEIVE_BYTES)
 
     async def send(self, data: bytes | bytearray | memoryview, stall_s: float | None = None) -> None:
--- a/clayscale/net/listener.py
+++ b/clayscale/net/listener.py
@@ -10,10 +10,12 @@
 import time
 from collections import OrderedDict, deque
 from dataclasses import dataclass
+from itertools import chain
 from urllib.parse import parse_qs, unquote
 
 import h11
 
+from aspentrail.interface import Effect, RequestClass
 from clayscale.agent import Agent, Held, failure
 from clayscale.messages import Address, Answer, BrokenAnswer, Call, Headers
 from clayscale.net.budget import BODY_MOST, BodyBudget, BodyShare
@@ -23,12 +25,19 @@
 
 READY = b"/health/ready"
 BACKLOG = 4096  # a crowd waits here and not in lost SYNs, which come again only after a second
-PIPELINE_MOST = 16  # requests read ahead on one connection; the rest stay unread
-PARTIAL_S = 10.0  # without a byte for so long, a begun request is given up; heads may take 2 s
-STALL_S = 30.0  # a client that takes nothing for so long has stalled; it may take seconds over an answer
+PIPELINE_MOST = 16  # requests open on one connection; whoever sends more at once is turned away
+# From the connection's start, or a request's first byte, to the request's last. Clients that only open
+# connections may be closed after 2 s, and those that send no whole request are owed an end within 3 s.
+WHOLE_S = 2.4
+IDLE_S = 10.0  # between requests. Risk: those that ask once and stay would hold a descriptor each for good
+SWEEP_S = 0.2  # between looks at who has had its time
+STALL_S = 5.0  # a client that takes nothing for so long has stalled; answers here have 64 KiB at most
+DISCARD_MOST = 256 * 1024  # read past the last request, so that its answer is not overtaken by a reset
 LINGER_S = 1.0  # for the client to read the last answer and close. Risk: a reset would overtake the answer
+COME_BACK_S = b"1"  # told with a refusal that the module had no part in: by then the crowd is over
 GOING_AWAY_S = 0.5  # after SIGTERM new connections go on coming for up to 0.4 s
-GOING_AWAY_MOST_S = 3.2  # SIGKILL comes 3.7 s after SIGTERM at the soonest with deadlines of 3 s
+# Past the longest deadline, the most that SIGTERM may take: SIGKILL comes 0.7 s past it at the soonest.
+GOING_AWAY_MORE_S = 0.55
 
 TOKEN = re.compile(rb"[!-~]{1,128}")
 BUDGET = re.compile(rb"(\d{1,12}(?:\.\d{1,6})?)([mu])")
@@ -67,36 +76,63 @@
         self.closing = False
         self._clients_most = clients
         self._clients: set[_Client] = set()
-        self._resting: OrderedDict[_Client, None] = OrderedDict()  # those owed nothing, longest idle first
+        # Those owed nothing, longest idle first. Risk: a crowd that says nothing displaces the clients that
+        # do; so who has sent nothing yet stands apart, and goes first.
+        self._silent: OrderedDict[_Client, None] = OrderedDict()
+        self._resting: OrderedDict[_Client, None] = OrderedDict()
         self._changed = asyncio.Event()
         self._sock = socket.create_server(address, backlog=BACKLOG)
         self._sock.setblocking(False)
         # Accepted sockets inherit it.
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER)
         self._accepting = asyncio.create_task(self._accept())
+        self._sweeping = asyncio.create_task(self._sweep())
 
     @property
     def address(self) -> Address:
         host, port = self._sock.getsockname()
         return host, port
 
+    @property
+    def connections(self) -> int:
+        return len(self._clients)
+
+    def resize(self, clients: int, memory_bytes: int) -> None:
+        """Take on other limits; what is open over a lower one goes as it comes to rest."""
+        self._clients_most = clients
+        self.bodies.resize(memory_bytes)
+        while len(self._clients) > clients and self._evict():
+            pass
+        self._changed.set()
+
     async def close(self) -> None:
         """Going away: finish what is owed, and take on what still comes while it comes."""
-        started = time.monotonic()
+        until = time.monotonic() + self.agent.longest_deadline_us / 1e6 + GOING_AWAY_MORE_S
         self.closing = True
-        for client in list(self._resting):
-            client.end()
+        self._end_resting()
         await asyncio.sleep(GOING_AWAY_S)
         self._accepting.cancel()
         self._empty_backlog()
         self._sock.close()
-        while self._clients and time.monotonic() - started < GOING_AWAY_MOST_S:
-            for client in list(self._resting):
-                client.end()
+        while self._clients and time.monotonic() < until:
+            self._end_resting()
             self._changed.clear()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(started + GOING_AWAY_MOST_S - time.monotonic()):
+                async with asyncio.timeout(until - time.monotonic()):
                     await self._changed.wait()
+        self._sweeping.cancel()
+
+    def _end_resting(self) -> None:
+        for client in [*self._silent, *self._resting]:
+            client.end()
+
+    async def _sweep(self) -> None:
+        """End those who have had their time. One timer for all: a timer for each read would cost more."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = time.monotonic()
+            for client in [*self._silent, *self._resting]:
+                client.expire(now)
 
     # Accepting
 
@@ -128,14 +164,15 @@
         sock.setblocking(False)
         client = _Client(self, Wire(sock))
         self._clients.add(client)
-        self._resting[client] = None
+        self._silent[client] = None
         client.start()
 
     def _evict(self) -> bool:
         """Close the client that has been idle longest of those that are owed nothing."""
-        for client in self._resting:
+        for client in chain(self._silent, self._resting):
             if client.wire.quiet():
-                del self._resting[client]
+                self._silent.pop(client, None)
+                self._resting.pop(client, None)
                 client.cancel()
                 return True
         return False
@@ -143,10 +180,14 @@
     # What clients report
 
     def heard(self, client: _Client) -> None:
-        if client in self._resting:
+        if client in self._silent:
+            del self._silent[client]
+            self._resting[client] = None
+        elif client in self._resting:
             self._resting.move_to_end(client)
 
     def owed(self, client: _Client) -> None:
+        self._silent.pop(client, None)
         self._resting.pop(client, None)
 
     def rests(self, client: _Client) -> None:
@@ -155,6 +196,7 @@
 
     def ended(self, client: _Client) -> None:
         self._clients.discard(client)
+        self._silent.pop(client, None)
         self._resting.pop(client, None)
         self._changed.set()
 
@@ -170,8 +212,11 @@
         self._more = asyncio.Event()  # a turn came, or went
         self._share: BodyShare | None = None  # of the request being read
         self._begun = False  # part of a request has come
+        self._asked = False  # some request has begun here
         self._abort = False
         self._answered_last = False
+        self._deaf = False  # what comes from now on is read past
+        self._until = time.monotonic() + WHOLE_S  # for a whole request, or at rest for the next to begin
         self._writer: asyncio.Task[None] | None = None
         self._linger: asyncio.TimerHandle | None = None
 
@@ -186,6 +231,16 @@
         if not self._turns and not self._begun and self.wire.quiet():
             self.cancel()
 
+    def expire(self, now: float) -> None:
+        """Its time may be up: an answer if part of a request has come, the end if nothing has."""
+        if now < self._until or self._turns or self._deaf:
+            return
+        if not self._begun:
+            self.end()
+            return
+        self._deaf = True
+        self._push_text(h11.Connection(h11.SERVER), 408, "the request did not come whole in time")
+
     async def _run(self) -> None:
         try:
             await self._read_requests()
@@ -226,9 +281,6 @@
     async def _read_requests(self) -> None:
         rest = b""
         while True:
-            while len(self._turns) >= PIPELINE_MOST:
-                self._more.clear()
-                await self._more.wait()
             # Each request has a parser of its own: h11 reads no further on one while an answer is due.
             parser = h11.Connection(h11.SERVER, HEAD_MOST)
             try:
@@ -244,7 +296,10 @@
         """Read one request and take it. Returns whether it is the last of its connection."""
         try:
             head = await self._read_head(parser, rest)
-            call = None if _path(head) == READY else self._call(head)
+            check_framing(head)
+            if len(self._turns) >= PIPELINE_MOST:
+                raise BadRequest(429, "too many requests at once on one connection")
+            call = None if _path(head) == READY else parse_call(head, self._agent)
             body = call.body if call else bytearray()
             share = self._share = self._listener.bodies.share()
             await self._read_body(parser, head, body, share)
@@ -254,6 +309,10 @@
         self._share = None
         self._begun = False
         share.whole()
+        if call is not None and self._agent.has_open(call.client_id):
+            # Risk: where requests are told apart by id, one of the two would be taken for the other.
+            share.release()
+            raise BadRequest(409, "a request under this X-Call-Id is open")
         last = parser.their_state is h11.MUST_CLOSE
         if call is None:
             share.release()
@@ -268,7 +327,7 @@
         rest = rest.lstrip(b"\r\n")
         if rest:
             parser.receive_data(rest)
-            self._begun = True
+            self._begins()
         while True:
             event = parser.next_event()
             if isinstance(event, h11.Request):
@@ -280,11 +339,16 @@
                 # Empty lines ahead of a request are passed over (RFC 9112, 2.2).
                 data = data.lstrip(b"\r\n")
             if data:
-                self._begun = True
+                if not self._begun:
+                    self._begins()
                 parser.receive_data(data)
 
-    def _call(self, head: h11.Request) -> Call:
-        return parse_call(head, self._agent)
+    def _begins(self) -> None:
+        """The first byte of a request. The first of a connection has its time from the connection's start."""
+        self._begun = True
+        if self._asked:
+            self._until = time.monotonic() + WHOLE_S
+        self._asked = True
 
     async def _read_body(
         self, parser: h11.Connection, head: h11.Request, body: bytearray, share: BodyShare
@@ -310,25 +374,25 @@
                 raise _Gone
 
     async def _receive(self) -> bytes:
-        """The next bytes of the client. Raises _Gone at their end, BadRequest if a begun request stands
-        still."""
-        try:
-            async with asyncio.timeout(PARTIAL_S if self._begun else None):
-                data = await self.wire.receive()
-                while data and self._answered_last:
-                    # Risk: a request read now would run, and its answer could not be written.
-                    data = await self.wire.receive()
-        except TimeoutError:
-            raise BadRequest(408, "the request did not come whole") from None
+        """The next bytes of the client. Raises _Gone at their end."""
+        data = await self.wire.receive()
+        if self._answered_last or self._deaf:
+            # Risk: a request read now would run, and its answer could not be written.
+            await self._discard()
         if not data:
             raise _Gone
         self._listener.heard(self)
         return data
 
     async def _discard(self) -> None:
-        """Read on past the last request, so that the client's going is seen."""
-        while await self.wire.receive():
-            pass
+        """Read on past the last request, so that the client's going is seen. Risk: a client may go on sending
+        for as long as it is read, at our core's cost."""
+        left = DISCARD_MOST
+        while left > 0 and (data := await self.wire.receive()):
+            left -= len(data)
+        while left <= 0 and self._turns:
+            self._more.clear()
+            await self._more.wait()
         raise _Gone
 
     # Answers
@@ -343,7 +407,8 @@
 
     def _push_text(self, parser: h11.Connection, status: int, text: str) -> None:
         answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        answer.set_result(Answer(status, [], text.encode("latin-1", "replace") + b"\n"))
+        headers = [(b"Retry-After", COME_BACK_S)] if status in (429, 503) else []
+        answer.set_result(Answer(status, headers, text.encode("latin-1", "replace") + b"\n"))
         self._push(_Turn(parser, answer, last=status not in (200, 503)))
 
     async def _write_answers(self) -> None:
@@ -377,6 +442,7 @@
             turn.share.release()
         self._more.set()
         if not self._turns:
+            self._until = time.monotonic() + (WHOLE_S if self._begun else IDLE_S)
             self._listener.rests(self)
 
     async def _write_answer(self, turn: _Turn) -> bool:
@@ -426,24 +492,40 @@
     return head.target.partition(b"?")[0]
 
 
+def check_framing(head: h11.Request) -> None:
+    """Refuse a head whose body another reader could end elsewhere. Risk: what this one takes for a body, that
+    one takes for the next request (RFC 9112, 6.1 and 11.2). h11 passes on both of these."""
+    chunked = any(name == b"transfer-encoding" for name, _ in head.headers)
+    lengths = [int(value) for name, value in head.headers if name == b"content-length"]
+    if chunked and (lengths or head.http_version != b"1.1"):
+        raise BadRequest(400, "the length of the body is ambiguous")
+    if head.method == b"GET" and (chunked or any(lengths)):
+        raise BadRequest(400, "a GET here has no body")
+
+
 def parse_call(head: h11.Request, agent: Agent) -> Call:
-    """What a request says. What is wrong with it is answered here, and reaches no module and no backend."""
+    """What the module is told and what goes on to a backend."""
     if head.method not in (b"GET", b"POST"):
         raise BadRequest(405, "the method is neither GET nor POST")
     path, _, query = head.target.partition(b"?")
     class_name = unquote(path.decode("ascii")).removeprefix("/").partition("/")[0]
-    if not path.startswith(b"/") or not agent.knows(class_name):
+    cls = agent.request_class(class_name)
+    if not path.startswith(b"/") or cls is None:
         raise BadRequest(404, "the path names no class of request")
-    if not TOKEN.fullmatch(_one(head, b"x-call-id") or b""):
+    client_id = _one(head, b"x-call-id") or b""
+    if not TOKEN.fullmatch(client_id):
         raise BadRequest(400, "X-Call-Id is missing or unreadable")
     budget = BUDGET.fullmatch(_one(head, b"x-budget") or b"")
     if budget is None:
         raise BadRequest(400, "X-Budget is missing or unreadable")
+    _check_effect(head, cls)
     cost = _one(head, b"x-call-cost") or b""
     keys = parse_qs(query.decode("ascii")).get("k", [""])
     return Call(
+        client_id=client_id,
         class_name=class_name,
-        budget_us=int(float(budget[1]) * BUDGET_UNITS_US[budget[2]]),
+        # Risk: a time without end would hold the request, its body and its attempts as long.
+        budget_us=min(int(float(budget[1]) * BUDGET_UNITS_US[budget[2]]), cls.deadline_us),
         method=head.method,
         target=head.target,
         headers=[(name, value) for name, value in end_to_end(head.headers) if name != b"x-budget"],
@@ -454,6 +536,16 @@
     )
 
 
+def _check_effect(head: h11.Request, cls: RequestClass) -> None:
+    """The method and the key follow from the class. Risk: a keyed request without its key would be repeated
+    as one whose repeats are dropped, and would run twice."""
+    if (head.method == b"GET") != (cls.effect is Effect.SAFE):
+        raise BadRequest(405, "the method is not that of the class")
+    keyed = TOKEN.fullmatch(_one(head, b"idempotency-key") or b"") is not None
+    if keyed != (cls.effect is Effect.KEYED):
+        raise BadRequest(400, "Idempotency-Key is missing, unreadable or out of place")
+
+
 def _one(head: h11.Request, name: bytes) -> bytes | None:
     """A header's value, if it is there once."""
     values = [value for found, value in head.headers if found == name]
--- a/clayscale/net/upstream.py
+++ b/clayscale/net/upstream.py
@@ -40,13 +40,17 @@
     """Connections to backends: those in use are counted, those at rest watched for their end."""
 
     def __init__(self, descriptors: int, idle_us: int, connect_timeout_us: int) -> None:
-        self._descriptors = descriptors
-        self._idle_s = idle_us * IDLE_SHARE / 1e6
-        self._connect_timeout_s = connect_timeout_us / 1e6 or None
+        self.resize(descriptors, idle_us, connect_timeout_us)
         self._idle: dict[Address, deque[tuple[float, Wire]]] = {}  # each oldest first
         self.open = 0
         self.opened = 0
 
+    def resize(self, descriptors: int, idle_us: int, connect_timeout_us: int) -> None:
+        """Take on other limits; what is open over a lower one goes as attempts end."""
+        self._descriptors = descriptors
+        self._idle_s = idle_us * IDLE_SHARE / 1e6
+        self._connect_timeout_s = connect_timeout_us / 1e6 or None
+
     async def attempt(self, call: Call, address: Address, timeout_us: int, fit: Callable[[], bool]) -> Ended:
         """Send the request to this backend, once, and tell what came of it. `fit` tells whether something
         new may still go there."""
@@ -98,6 +102,9 @@
     def rest(self, address: Address, wire: Wire) -> None:
         """Keep a connection for the next request, and drop it at whatever the backend says meanwhile."""
         self._retire()
+        if self.open > self._descriptors:
+            self.drop(wire)
+            return
         self._idle.setdefault(address, deque()).append((time.monotonic(), wire))
         asyncio.get_running_loop().add_reader(wire.sock, self._ended_at_rest, address, wire)
 
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,159 @@
+"""Clients that send what they should not, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.loopback import Backend, answer, connect, request, until, world
+
+OK = answer(b"served")
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+HIDDEN = b"0\r\n\r\n" + request("hidden", "pay")
+
+
+def bad(name: str) -> bytes:
+    """Requests that no backend may see."""
+    return {
+        "both lengths": request("a", "pay", HIDDEN, more=CHUNKED),
+        "chunked in 1.0": request("a", "pay", more=CHUNKED)
+        .replace(b"HTTP/1.1", b"HTTP/1.0")
+        .replace(b"Content-Length: 0\r\n", b"")
+        + HIDDEN,
+        "a body in a GET": request("a", more="Content-Length: 5\r\n") + b"hello",
+        "two lengths": request("a", "pay", b"hello", more="Content-Length: 4\r\n"),
+        "negative length": request("a", "pay").replace(b"Length: 0", b"Length: -4"),
+        "huge length": request("a", "pay").replace(b"Length: 0", b"Length: 99999999999999"),
+        "no id": request("a").replace(b"X-Call-Id: a\r\n", b""),
+        "no time": request("a", budget="soon"),
+        "no class": request("a").replace(b"/look", b"/steal"),
+        "method": request("a", "pay").replace(b"POST", b"GET"),
+        "no key": request("a", "book").replace(b"Idempotency-Key: ka\r\n", b""),
+        "noise": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+        "a long body": request("a", "pay", bytes(200_000)),
+        "a long head": b"GET /look HTTP/1.1\r\n" + b"X-Filler: yes\r\n" * 20_000,
+    }[name]
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "both lengths", "chunked in 1.0", "a body in a GET", "two lengths", "negative length", "huge length",
+        "no id", "no time", "no class", "method", "no key", "noise", "a long body", "a long head",
+    ],
+)  # fmt: skip
+def test_what_cannot_be_served_is_answered_with_an_error_and_goes_nowhere(name: str) -> None:
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with world(backend) as made:
+            client = await made.client()
+            client.send(bad(name))
+            status, head, _ = await client.answer()
+            assert 400 <= status < 600 and b"connection: close" in head.lower()
+            assert await client.ended()
+            usual = await made.client()
+            usual.send(request("u"))
+            assert (await usual.answer())[0] == 200
+        assert len(backend.seen) == 1 and b"x-call-id: u" in backend.seen[0].lower()
+
+    asyncio.run(play())
+
+
+def test_the_id_of_an_open_request_is_refused_and_free_again_after_it() -> None:
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def later(_: bytes, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(OK)
+
+        backend = await Backend(later).start()
+        async with world(backend) as made:
+            first, second = await made.client(), await made.client()
+            first.send(request("same"))
+            await asyncio.wait_for(backend.arrived.wait(), 30)
+            second.send(request("same", "pay", b"other"))
+            assert (await second.answer())[0] == 409
+            go.set()
+            assert (await first.answer())[0] == 200
+            first.send(request("same"))
+            assert (await first.answer())[0] == 200
+        assert len(backend.seen) == 2
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("begun", [b"", b"GET /look HTTP/1.1\r\nHost: a", request("a", "pay", b"xy")[:-1]])
+def test_a_client_that_never_sends_a_whole_request_is_ended(begun: bytes) -> None:
+    async def play() -> None:
+        async with world(await Backend(OK).start()) as made:
+            client = await made.client()
+            client.send(begun)
+            if begun:
+                assert (await client.answer())[0] == 408
+            assert await client.ended()
+            await until(lambda: made.listener.connections == 0)
+            assert made.listener.bodies.held == 0
+
+    asyncio.run(play())
+
+
+def test_more_at_once_than_a_connection_may_have_open_is_turned_away() -> None:
+    async def play() -> None:
+        async def never(_: bytes, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0)
+
+        backend = await Backend(never).start()
+        async with world(backend) as made:
+            client = await made.client()
+            client.send(b"".join(request(f"p{number}") for number in range(300)))
+            statuses: list[int] = []
+            while not statuses or statuses[-1] != 429:
+                status, head, _ = await client.answer()
+                statuses.append(status)
+            assert b"retry-after" in head.lower()
+            assert await client.ended()
+            assert len(statuses) == 17
+
+    asyncio.run(play())
+
+
+def test_a_client_that_sends_without_end_does_not_have_the_agent_to_itself() -> None:
+    """What is sent past the last request is read to a limit, and the loop is let go on meanwhile."""
+
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with world(backend) as made:
+            flood = await made.client()
+            flood.send(request("a", "pay").replace(b"Length: 0", b"Length: 70000000"))
+            sent = 0
+            with pytest.raises(OSError):
+                while sent < 64_000_000:
+                    flood.send(bytes(1_000_000))
+                    sent += 1_000_000
+                    await flood.writer.drain()
+            usual = await made.client()
+            usual.send(request("u"))
+            assert (await usual.answer())[0] == 200
+
+    asyncio.run(play())
+
+
+def test_a_silent_crowd_goes_before_clients_that_have_asked() -> None:
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with world(backend) as made:
+            usual = await made.client()
+            usual.send(request("u1"))
+            assert (await usual.answer())[0] == 200
+            crowd = [await connect(made.listener.address) for _ in range(300)]
+            late = await made.client()
+            late.send(request("late"))
+            assert (await late.answer())[0] == 200
+            usual.send(request("u2"))
+            assert (await usual.answer())[0] == 200
+            for client in crowd:
+                client.close()
+
+    asyncio.run(play())
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,196 @@
+"""The program as it is started, with its signals."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+from tests.loopback import (
+    PATIENCE_S,
+    Backend,
+    Client,
+    Registry,
+    answer,
+    connect,
+    member,
+    request,
+    table,
+    until,
+)
+
+ROOT = Path(__file__).parent.parent
+OK = answer(b"served")
+
+
+def free_address() -> tuple[str, int]:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        host, port = sock.getsockname()
+    return host, port
+
+
+class Program:
+    """The agent's process and its configuration file."""
+
+    def __init__(self, folder: Path, config: dict[str, Any]) -> None:
+        self.path = folder / "config.json"
+        self.address = free_address()
+        self.config = config
+        self.write(config)
+
+    def write(self, config: dict[str, Any]) -> None:
+        fresh = self.path.with_suffix(".new")
+        fresh.write_text(json.dumps(config) if config else "{")
+        fresh.replace(self.path)
+
+    async def start(self) -> None:
+        environ = {
+            **os.environ,
+            "BALANCER_CONFIG": str(self.path),
+            "BALANCER_LISTEN": "{}:{}".format(*self.address),
+            "BALANCER_DISCOVERY": self.config["discovery"],
+        }
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "clayscale", cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE
+        )
+        assert self.process.stderr is not None
+        self.stderr = self.process.stderr
+
+    async def ready(self) -> Client:
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                with contextlib.suppress(OSError):
+                    client = await connect(self.address)
+                    client.send(b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                    if (await client.answer())[0] == 200:
+                        return client
+                await asyncio.sleep(0.02)
+
+    async def logged(self, text: bytes) -> bytes:
+        async with asyncio.timeout(PATIENCE_S):
+            while line := await self.stderr.readline():
+                if text in line:
+                    return line
+        raise AssertionError(f"it ended without logging {text!r}")
+
+    async def end(self) -> int:
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(self.process.wait(), PATIENCE_S)
+
+
+@contextlib.asynccontextmanager
+async def program(folder: Path, backend: Backend, registry: Registry) -> AsyncIterator[Program]:
+    made = Program(folder, table(registry.address, [member("b0", backend.address)]))
+    await made.start()
+    try:
+        yield made
+        assert await made.end() == 0
+    finally:
+        if made.process.returncode is None:
+            made.process.kill()
+            await made.process.wait()
+        backend.stop()
+        registry.stop()
+
+
+def test_a_reload_moves_the_watch_and_keeps_every_request(tmp_path: Path) -> None:
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def later(_: bytes, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(OK)
+
+        backend, other = await Backend(later).start(), await Backend(OK).start()
+        old, new = await Registry().start(), await Registry().start()
+        async with program(tmp_path, backend, old) as made:
+            client = await made.ready()
+            await asyncio.wait_for(old.asked.wait(), PATIENCE_S)
+            client.send(request("held", "pay", b"x"))
+            await asyncio.wait_for(backend.arrived.wait(), PATIENCE_S)
+            made.write({**made.config, "discovery": new.address})
+            made.process.send_signal(signal.SIGHUP)
+            await asyncio.wait_for(new.asked.wait(), PATIENCE_S)
+            await until(lambda: old.open == 0)
+            go.set()
+            assert (await client.answer())[2] == b"served"
+            # What the new one tells holds: the old backend is gone, another has come.
+            new.tell(9, member("b1", other.address), complete=True)
+            seen = 0
+            async with asyncio.timeout(PATIENCE_S):
+                while not other.seen:
+                    seen += 1
+                    client.send(request(f"after{seen}"))
+                    assert (await client.answer())[0] == 200
+        other.stop()
+        new.stop()
+
+    asyncio.run(play())
+
+
+def test_a_bad_new_configuration_is_one_line_and_the_old_one_stays(tmp_path: Path) -> None:
+    async def play() -> None:
+        backend, registry = await Backend(OK).start(), await Registry().start()
+        async with program(tmp_path, backend, registry) as made:
+            client = await made.ready()
+            await asyncio.wait_for(registry.asked.wait(), PATIENCE_S)
+            good = made.config
+            unlimited = {**good, "limits": {"memory_mb": float("inf"), "sockets": 256}}
+            for config in ({}, {**good, "discovery": "nowhere"}, {**good, "settings": {}}, unlimited):
+                made.write(config)
+                made.process.send_signal(signal.SIGHUP)
+                line = await made.logged(b"the new configuration is not used")
+                assert b"Traceback" not in line
+                client.send(request("a"))
+                assert (await client.answer())[0] == 200
+            assert registry.watches == 1
+
+    asyncio.run(play())
+
+
+def test_a_bad_configuration_at_the_start_is_one_line_and_an_exit(tmp_path: Path) -> None:
+    async def play() -> None:
+        made = Program(tmp_path, table("127.0.0.1:9", []))
+        for config in ({}, {**made.config, "limits": {"memory_mb": float("inf"), "sockets": 256}}):
+            made.write(config)
+            await made.start()
+            said = await asyncio.wait_for(made.stderr.read(), PATIENCE_S)
+            assert await asyncio.wait_for(made.process.wait(), PATIENCE_S) == 2
+            assert said.count(b"\n") == 1 and said.startswith(b"clayscale: ")
+
+    asyncio.run(play())
+
+
+def test_sigterm_ends_it_after_what_it_owes(tmp_path: Path) -> None:
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def later(_: bytes, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(OK)
+
+        backend, registry = await Backend(later).start(), await Registry().start()
+        async with program(tmp_path, backend, registry) as made:
+            resting, client = await made.ready(), await made.ready()
+            client.send(request("held", "pay", b"x"))
+            await asyncio.wait_for(backend.arrived.wait(), PATIENCE_S)
+            made.process.send_signal(signal.SIGTERM)
+            assert await resting.ended()
+            late = await connect(made.address)  # new connections go on coming for a while
+            late.send(request("late"))
+            await until(lambda: len(backend.seen) == 2)
+            go.set()
+            for one in (client, late):
+                status, head, body = await one.answer()
+                assert (status, body) == (200, b"served") and b"connection: close" in head.lower()
+                assert await one.ended()
+
+    asyncio.run(play())
