End spoilt answers at once; keep penalties out of the forecast

Ruled out: crowding (p50 flat), descriptors (229 of 256), CPU (0.58 of 0.85 core at most). At fault: Server.observe put the penalty of 4 usual latencies into the mean that the forecast reads, and Balancer._learn counted errors as late, which takes the tolerance away. Seen in code: a spoilt answer was a reset (backend shut, up to 4 s) or held its request to the deadline; the status of a refusal was told only after its body, or 0.25 s (_AnswerReader._skip_body), which held back the next attempt or the final answer.

- An answer goes on only whole, at most 64 KiB, with one clear length; noise, wrong lengths, floods and a standstill of 0.3 s are errors of that attempt.
Streaming is gone with it: nothing of 64 KiB needs it.
- A refusal is told at its head; its connection is kept if its body is there.
- Connections to backends that are gone, drain or began anew are dropped, so a new one at the same address does not inherit them.
- Bytes that wait on a rested connection stop the request from going out.

--- a/aspentrail/rules.py
+++ b/aspentrail/rules.py
@@ -111,12 +111,16 @@
         kind = self.kind.read(now)
         return kind + (self.estimate - kind) * self.weight(now)
 
-    def observe(self, sample: float, now: int) -> None:
-        """The peak rule: a sample above the estimate projected to now replaces it, another is blended in."""
+    def observe(self, sample: float, now: int, waited: bool = True) -> None:
+        """The peak rule: a sample above the estimate projected to now replaces it, another is blended in.
+        `waited`: the sample is a latency, or a lower bound of one. Risk: a penalty taken for a wait. Then a
+        server that errs or turns away at once looks crowded to the forecast, and what it could have served is
+        refused. Harm: a server so crowded that it errs is seen by the pick alone."""
         weight = self.weight(now)
         kind = self.kind.read(now)
-        mean = kind + (self.mean - kind) * weight
-        self.mean = mean + (sample - mean) * SERVER_RECENT
+        self.mean = kind + (self.mean - kind) * weight
+        if waited:
+            self.mean += (sample - self.mean) * SERVER_RECENT
         if sample > self.project(now):
             self.estimate = sample
         else:
@@ -316,7 +320,7 @@
         elif outcome is not api.Outcome.OK:
             # Risk: a dead server refuses connections at once, and its tiny elapsed times would draw every
             # pick.
-            server.observe(max(PENALTY, sample), now)
+            server.observe(max(PENALTY, sample), now, waited=False)
         else:
             server.observe(sample, now)
             server.kind.add(sample, now)
@@ -327,9 +331,12 @@
             server.failures += 1
         elif outcome is api.Outcome.OK:
             server.failures = server.shut_until = 0
-        if outcome is not api.Outcome.CANCELLED:
-            in_time = outcome is api.Outcome.OK and event.elapsed_us <= cls.aim_us
-            self.late.add(0.0 if in_time else 1.0, now)
+        # Only what was waited for tells whether the fleet is late. Risk: errors, whatever their cause, taken
+        # for crowding; then the whole fleet is spared for what a part of it, or one class, brings on itself.
+        if outcome is api.Outcome.OK:
+            self.late.add(0.0 if event.elapsed_us <= cls.aim_us else 1.0, now)
+        elif outcome is api.Outcome.TIMEOUT:
+            self.late.add(1.0, now)
 
     def _place(self, held: Held, now: int) -> list[api.Action]:
         """Send the request, hold it until a server is known, or end it."""
--- a/clayscale/agent.py
+++ b/clayscale/agent.py
@@ -11,7 +11,7 @@
 from aspentrail import interface as api
 from aspentrail.rules import Balancer
 from clayscale.config import Config
-from clayscale.messages import Answer, BrokenAnswer, Call, Ended, Stream
+from clayscale.messages import Answer, Call, Ended
 from clayscale.net.budget import Descriptors
 from clayscale.net.discovery import Directory, Discovery, Update
 from clayscale.net.upstream import Upstream
@@ -99,6 +99,11 @@
         """How many requests still wait for their final answer."""
         return len(self._held)
 
+    @property
+    def attempts(self) -> int:
+        """How many attempts are under way, called-off ones too until they have ended."""
+        return len(self._running)
+
     @property
     def longest_deadline_us(self) -> int:
         return max(cls.deadline_us for cls in self._classes.values())
@@ -148,7 +153,8 @@
         self._tell(self._balancer.on_client_gone, api.ClientGone(held.id))
 
     def _on_update(self, update: Update) -> None:
-        self._directory.apply(update)
+        for address in self._directory.apply(update):
+            self._upstream.forget(address)
         kind = api.ListKind.FULL if update.complete else api.ListKind.DELTA
         self._tell(self._balancer.on_list, api.BackendList(kind, update.backends))
 
@@ -243,61 +249,12 @@
         )
 
     def _ended(self, held: Held, key: tuple[int, int], ended: Ended, elapsed_us: int) -> None:
-        answer = ended.answer
-        if answer is not None and answer.stream is not None:
-            if held.id in self._held:
-                self._stream(held, key, answer, answer.stream, elapsed_us)
-                return
-            answer.stream.close()
-            ended = Ended(api.Outcome.CANCELLED)
-        elif answer is not None:
-            self._finish(held, answer)
+        if ended.answer is not None:
+            self._finish(held, ended.answer)
         finished = held.id not in self._held
         event = api.AttemptEnded(*key, ended.outcome, elapsed_us, finished)
         self._tell(self._balancer.on_attempt_ended, event, held)
 
-    def _stream(
-        self, held: Held, key: tuple[int, int], answer: Answer, stream: Stream, elapsed_us: int
-    ) -> None:
-        """A long answer has begun: it belongs to the client now, and no deadline runs."""
-        self._tell(self._balancer.on_stream_started, api.StreamStarted(*key), held)
-
-        def ended(outcome: api.Outcome) -> None:
-            event = api.AttemptEnded(*key, outcome, elapsed_us, True)
-            self._tell(self._balancer.on_attempt_ended, event)
-
-        answer.stream = _ToldStream(stream, ended)
-        if not self._finish(held, answer):
-            answer.stream.close()
-
-
-class _ToldStream(Stream):
-    """A stream whose end, of whatever kind, is told once."""
-
-    def __init__(self, stream: Stream, ended: Callable[[api.Outcome], None]) -> None:
-        self._stream = stream
-        self._ended: Callable[[api.Outcome], None] | None = ended
-        self.length = stream.length
-
-    async def read(self) -> bytes:
-        try:
-            piece = await self._stream.read()
-        except BrokenAnswer:
-            self._tell(api.Outcome.RESET)
-            raise
-        if not piece:
-            self._tell(api.Outcome.OK)
-        return piece
-
-    def close(self) -> None:
-        self._stream.close()
-        self._tell(api.Outcome.CANCELLED)
-
-    def _tell(self, outcome: api.Outcome) -> None:
-        if self._ended is not None:
-            ended, self._ended = self._ended, None
-            ended(outcome)
-
 
 def refusal(retry_after_us: int) -> Answer:
     """Trying again does no harm."""
--- a/clayscale/messages.py
+++ b/clayscale/messages.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
 from aspentrail import interface as api
@@ -28,24 +27,6 @@
     body: bytearray = field(default_factory=bytearray)
 
 
-class Stream(ABC):
-    """The rest of a long answer, read from the backend only as fast as the client takes it."""
-
-    length: int | None  # of the whole body, where the backend said it
-
-    @abstractmethod
-    async def read(self) -> bytes:
-        """The next piece, empty at the end. Raises BrokenAnswer if the backend breaks off or stalls."""
-
-    @abstractmethod
-    def close(self) -> None:
-        """No more will be read. Without effect after the end."""
-
-
-class BrokenAnswer(Exception):
-    """A backend did not finish an answer that it had begun."""
-
-
 @dataclass(slots=True)
 class Answer:
     """A final answer to a client."""
@@ -53,7 +34,6 @@
     status: int
     headers: Headers = field(default_factory=list)
     body: bytes | bytearray = b""
-    stream: Stream | None = None
 
 
 @dataclass(slots=True)
--- a/clayscale/net/discovery.py
+++ b/clayscale/net/discovery.py
@@ -88,20 +88,29 @@
 
     def __init__(self) -> None:
         self._addresses: dict[str, Address] = {}
-        self._ready: set[str] = set()
+        self._ready: dict[str, int] = {}  # and when each started
 
-    def apply(self, update: Update) -> None:
+    def apply(self, update: Update) -> set[Address]:
+        """Take on what discovery says. Returns the addresses of processes that want nothing new: they drain,
+        are gone, or have been started anew."""
+        addresses, ready = self._addresses, self._ready
         if update.complete:
-            self._addresses.clear()
-            self._ready.clear()
+            self._addresses, self._ready = {}, {}
+        else:
+            self._addresses, self._ready = dict(addresses), dict(ready)
         self._addresses.update(update.addresses)
         for backend in update.backends:
             if backend.state is api.State.READY:
-                self._ready.add(backend.id)
+                self._ready[backend.id] = backend.started_us
             else:
-                self._ready.discard(backend.id)
+                self._ready.pop(backend.id, None)
             if backend.state is api.State.GONE:
                 self._addresses.pop(backend.id, None)
+        return {
+            addresses[name]
+            for name, started_us in ready.items()
+            if self._ready.get(name) != started_us or self._addresses.get(name) != addresses[name]
+        }
 
     def address(self, backend: str) -> Address | None:
         return self._addresses.get(backend)
--- a/clayscale/net/http.py
+++ b/clayscale/net/http.py
@@ -96,10 +96,3 @@
     options = [value for name, value in headers if name == b"connection"]
     named = {option.strip().lower() for value in options for option in value.split(b",")}
     return [(name, value) for name, value in headers if name not in HOP_BY_HOP and name not in named]
-
-
-def content_length(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
-    """The declared length of a body, if it has one that counts."""
-    if any(name == b"transfer-encoding" for name, _ in headers):
-        return None
-    return next((int(value) for name, value in headers if name == b"content-length"), None)
--- a/clayscale/net/listener.py
+++ b/clayscale/net/listener.py
@@ -16,10 +16,10 @@
 import h11
 
 from aspentrail.interface import Effect, RequestClass
-from clayscale.agent import Agent, Held, failure
-from clayscale.messages import Address, Answer, BrokenAnswer, Call, Headers
+from clayscale.agent import Agent, Held
+from clayscale.messages import Address, Answer, Call, Headers
 from clayscale.net.budget import BODY_MOST, BodyBudget, BodyShare
-from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, Wire, content_length, end_to_end, frame
+from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, Wire, end_to_end, frame
 
 log = logging.getLogger(__name__)
 
@@ -101,8 +101,9 @@
         """Take on other limits; what is open over a lower one goes as it comes to rest."""
         self._clients_most = clients
         self.bodies.resize(memory_bytes)
-        while len(self._clients) > clients and self._evict():
-            pass
+        for _ in range(len(self._clients) - clients):
+            if not self._evict():
+                break
         self._changed.set()
 
     async def close(self) -> None:
@@ -271,10 +272,6 @@
             turn.share.release()
         if turn.held is not None:
             self._agent.abandon(turn.held)
-        if turn.answer.done() and not turn.answer.cancelled():
-            stream = turn.answer.result().stream
-            if stream is not None:
-                stream.close()
 
     # Requests
 
@@ -353,7 +350,7 @@
     async def _read_body(
         self, parser: h11.Connection, head: h11.Request, body: bytearray, share: BodyShare
     ) -> None:
-        if (content_length(head.headers) or 0) > BODY_MOST:
+        if any(name == b"content-length" and int(value) > BODY_MOST for name, value in head.headers):
             raise BadRequest(413, "the body is too long")
         if parser.they_are_waiting_for_100_continue and not self._turns:
             reply = parser.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -420,7 +417,7 @@
                 if await self._write_answer(self._turns[0]):
                     break
                 self._done()
-        except (OSError, BrokenAnswer):
+        except OSError:
             # Risk: the client would take what has come for the whole.
             self._abort = True
             self.cancel()
@@ -454,22 +451,8 @@
         turn.share.add(len(answer.body))
         close = turn.last or (self._listener.closing and len(self._turns) == 1)
         headers = _headers(answer, close)
-        parser = turn.parser
-        if answer.stream is None:
-            await self.wire.send(_whole(parser, answer, headers), STALL_S)
-            return parser.our_state is not h11.DONE
-        if parser.their_http_version == b"1.0" and answer.stream.length is None:
-            # Risk: HTTP/1.0 has no framing that shows such an answer broken off.
-            answer.stream.close()
-            await self.wire.send(_whole(parser, failure(), _headers(failure(), True)), STALL_S)
-            return True
-        response = h11.Response(status_code=answer.status, headers=headers)
-        await self.wire.send(parser.send(response) or b"", STALL_S)
-        while piece := await answer.stream.read():
-            for part in parser.send_with_data_passthrough(h11.Data(data=piece)) or []:
-                await self.wire.send(part, STALL_S)
-        await self.wire.send(parser.send(h11.EndOfMessage()) or b"", STALL_S)
-        return parser.our_state is not h11.DONE
+        await self.wire.send(_whole(turn.parser, answer, headers), STALL_S)
+        return turn.parser.our_state is not h11.DONE
 
 
 def _whole(parser: h11.Connection, answer: Answer, headers: Headers) -> bytes:
@@ -478,11 +461,7 @@
 
 
 def _headers(answer: Answer, close: bool) -> Headers:
-    headers = list(answer.headers)
-    if answer.stream is None:
-        headers.append((b"Content-Length", b"%d" % len(answer.body)))
-    elif answer.stream.length is not None:
-        headers.append((b"Content-Length", b"%d" % answer.stream.length))
+    headers = [*answer.headers, (b"Content-Length", b"%d" % len(answer.body))]
     if close:
         headers.append((b"Connection", b"close"))
     return headers
--- a/clayscale/net/upstream.py
+++ b/clayscale/net/upstream.py
@@ -16,15 +16,16 @@
 import h11
 
 from aspentrail.interface import Outcome
-from clayscale.messages import Address, Answer, BrokenAnswer, Call, Ended, Stream
-from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, Wire, content_length, end_to_end
+from clayscale.messages import Address, Answer, Call, Ended
+from clayscale.net.budget import BODY_MOST
+from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, Wire, end_to_end
 
 log = logging.getLogger(__name__)
 
-WHOLE_MOST = 65_536  # answers up to this are held back until whole, so that a broken one can be tried again
-STALL_S = 10.0  # a long answer that brings nothing for so long is broken; backends may take seconds over one
+STALL_S = 0.3  # an answer that has begun and brings nothing for so long is broken; a lost packet costs 0.2
+INFORMATIONAL_MOST = 16  # 1xx answers ahead of the one that counts; more are a flood
 MOMENT_S = 0.005  # what a reset needs to come back after all but the last byte: a trip, and a busy peer
-REST_OF_REFUSAL_S = 0.25  # for the body of an answer whose status is all that counts, to keep its connection
+RETIRE_S = 0.5  # between looks through all that rest
 IDLE_SHARE = 0.8  # of the backend's idle limit: what has rested longer is not used again
 
 
@@ -32,6 +33,10 @@
     """All descriptors for backends are in use by attempts under way."""
 
 
+class Spoilt(Exception):
+    """What came is no answer to the request. It may have run, and the backend is up."""
+
+
 class _Stale(Exception):
     """A rested connection spoke before it was asked."""
 
@@ -44,6 +49,7 @@
         self._idle: dict[Address, deque[tuple[float, Wire]]] = {}  # each oldest first
         self.open = 0
         self.opened = 0
+        self._retired = 0.0
 
     def resize(self, descriptors: int, idle_us: int, connect_timeout_us: int) -> None:
         """Take on other limits; what is open over a lower one goes as attempts end."""
@@ -108,10 +114,16 @@
         self._idle.setdefault(address, deque()).append((time.monotonic(), wire))
         asyncio.get_running_loop().add_reader(wire.sock, self._ended_at_rest, address, wire)
 
-    def drop(self, wire: Wire, abort: bool = False) -> None:
+    def drop(self, wire: Wire) -> None:
         if not wire.closed:
             self.open -= 1
-            wire.close(abort)
+            wire.close()
+
+    def forget(self, address: Address) -> None:
+        """Drop what rests at an address whose backend is gone. Risk: another one comes up there, and a
+        connection to a machine that vanished says nothing of its end."""
+        for _, wire in self._idle.pop(address, ()):
+            self.drop(wire)
 
     def close(self) -> None:
         """Drop all that rests."""
@@ -131,7 +143,11 @@
 
     def _retire(self) -> None:
         """Drop what has rested too long, at every address. Risk: backends that are gone leave theirs."""
-        oldest = time.monotonic() - self._idle_s
+        now = time.monotonic()
+        if now < self._retired + RETIRE_S:
+            return
+        self._retired = now
+        oldest = now - self._idle_s
         for address, resting in list(self._idle.items()):
             while resting and resting[0][0] < oldest:
                 self.drop(resting.popleft()[1])
@@ -179,13 +195,20 @@
     async def _on(self, wire: Wire, rested: bool) -> Ended | None:
         """The exchange on this connection; None if it broke before the request's last byte was written."""
         parser = h11.Connection(h11.CLIENT, HEAD_MOST)
-        writer = asyncio.create_task(self._write(wire, self._frame(parser)))
+        writer = asyncio.create_task(self._write(wire, self._frame(parser), rested))
         reader = _AnswerReader(self, parser, wire, writer, rested)
         try:
             ended = await reader.run()
-        except (OSError, h11.ProtocolError, _Stale):
+        except (OSError, _Stale):
             reader.close()
             return Ended(Outcome.RESET) if self.sent else None
+        except (h11.RemoteProtocolError, Spoilt):
+            reader.close()
+            if not self.sent:
+                return None
+            # An end inside the answer is a broken connection. Noise and wrong lengths are an error: the
+            # backend is there, and to be shut for it as if it were not would cost its good answers.
+            return Ended(Outcome.RESET if reader.ended else Outcome.ERROR)
         except BaseException:
             reader.close()
             raise
@@ -207,7 +230,7 @@
             return [head[:-1], head[-1:]]
         return [head, body[:-1], body[-1:]]
 
-    async def _write(self, wire: Wire, pieces: list[bytes | memoryview]) -> None:
+    async def _write(self, wire: Wire, pieces: list[bytes | memoryview], rested: bool) -> None:
         """Risk: a connection that rested, or is reset as soon as it is up, takes the whole request before the
         reset shows, and then the request may have run. So the last byte waits a moment by itself."""
         *most, last = pieces
@@ -219,6 +242,10 @@
                 # Risk: a drain broken by a request that was long on its way.
                 wire.shutdown(socket.SHUT_RDWR)
                 return
+            if rested and not wire.quiet():
+                # Risk: what is here before the request, and not yet read, would be taken for its answer.
+                wire.shutdown(socket.SHUT_RDWR)
+                return
             self.sent = True
             try:
                 await wire.send(last)
@@ -233,8 +260,8 @@
         self._upstream.drop(wire)
 
 
-class _AnswerReader(Stream):
-    """Reads one answer: a short one whole, of a long one the beginning, and then as a Stream the rest."""
+class _AnswerReader:
+    """Reads one answer. Only whole is it passed on, so a broken or spoilt one can still be tried again."""
 
     def __init__(
         self,
@@ -249,81 +276,74 @@
         self._wire = wire
         self._writer = writer
         self._rested = rested
-        self._first: bytearray = bytearray()
-        self.length: int | None = None
+        self._begun = False  # part of the answer has come
+        self.ended = False  # the backend has ended its sending
 
     async def run(self) -> Ended:
         response = await self._response()
         if response.status_code != 200:
-            await self._skip_body()
+            self._skip_body()
             return Ended(_outcome(response))
-        headers = end_to_end(response.headers)
-        self.length = content_length(response.headers)
-        body = self._first
-        while True:
-            event = await self._event()
-            if isinstance(event, h11.EndOfMessage):
-                self._done()
-                return Ended(Outcome.OK, Answer(200, headers, body))
+        if not self._exchange.sent:
+            raise Spoilt("an answer to a request that was not sent whole")
+        length = _length(response)
+        body = bytearray()
+        while not isinstance(event := await self._next(), h11.EndOfMessage):
+            if not isinstance(event, h11.Data):
+                raise Spoilt("the answer broke off")
             body += event.data
-            if len(body) > WHOLE_MOST or (self.length or 0) > WHOLE_MOST:
-                return Ended(Outcome.OK, Answer(200, headers, stream=self))
-
-    async def read(self) -> bytes:
-        if self._first:
-            first, self._first = self._first, bytearray()
-            return bytes(first)
-        if self._wire.closed:
-            return b""
-        try:
-            async with asyncio.timeout(STALL_S):
-                event = await self._event()
-        except (OSError, h11.ProtocolError) as fault:  # TimeoutError is an OSError
-            self.close()
-            raise BrokenAnswer from fault
-        if isinstance(event, h11.EndOfMessage):
-            self._done()
-            return b""
-        return event.data
+            if len(body) > BODY_MOST:
+                raise Spoilt("the answer is longer than one may be")
+        if length is not None and len(body) != length:
+            raise Spoilt("the answer is not as long as it says")
+        self._done()
+        return Ended(Outcome.OK, Answer(200, end_to_end(response.headers), body))
 
     def close(self) -> None:
         self._writer.cancel()
         self._exchange.drop(self._wire)
 
     async def _response(self) -> h11.Response:
-        while True:
+        for _ in range(INFORMATIONAL_MOST):
             event = await self._next()
             if isinstance(event, h11.Response):
                 return event
-            if not isinstance(event, h11.InformationalResponse):
-                raise h11.RemoteProtocolError("no answer came")
-
-    async def _event(self) -> h11.Data | h11.EndOfMessage:
-        event = await self._next()
-        if isinstance(event, (h11.Data, h11.EndOfMessage)):
-            return event
-        raise h11.RemoteProtocolError("the answer broke off")
+            if not isinstance(event, h11.InformationalResponse) or event.status_code == 101:
+                break
+            self._begun = bool(self._parser.trailing_data[0])  # the answer itself may take its time yet
+        raise Spoilt("no answer came")
 
     async def _next(self) -> h11.Event | type[h11.PAUSED]:
         while True:
             event = self._parser.next_event()
             if not isinstance(event, type) or event is h11.PAUSED:
                 return event
-            data = await self._wire.receive()
+            try:
+                async with asyncio.timeout(STALL_S if self._begun else None):
+                    data = await self._wire.receive()
+            except TimeoutError:
+                # Risk: an answer that says it is longer than it is would hold its request until the deadline.
+                raise Spoilt("the answer stood still") from None
             if data and self._rested and not self._exchange.sent:
                 # Risk: an answer to an earlier request, come late, would be taken for this one's.
                 raise _Stale
+            self._begun = True
+            self.ended = not data
             self._parser.receive_data(data)
 
-    async def _skip_body(self) -> None:
-        """The status has told all; the rest decides only whether the connection can be kept."""
+    def _skip_body(self) -> None:
+        """The status has told all, and the module is told at once. What has come by now decides whether the
+        connection is kept. Risk: waiting for the rest would hold back the request's next attempt, or its
+        final answer."""
         try:
-            async with asyncio.timeout(REST_OF_REFUSAL_S):
-                for _ in range(1 + WHOLE_MOST // 64):
-                    if isinstance(await self._event(), h11.EndOfMessage):
-                        self._done()
-                        return
-        except (OSError, h11.ProtocolError):
+            for _ in range(1 + BODY_MOST // 64):
+                event = self._parser.next_event()
+                if isinstance(event, h11.EndOfMessage):
+                    self._done()
+                    return
+                if not isinstance(event, h11.Data):
+                    break
+        except h11.ProtocolError:
             pass
         self.close()
 
@@ -337,6 +357,18 @@
             self.close()
 
 
+def _length(response: h11.Response) -> int | None:
+    """The declared length, None of a chunked answer. Risk: one that ends with its connection cannot be told
+    from one broken off, and one with two lengths may be cut at either."""
+    lengths = [int(value) for name, value in response.headers if name == b"content-length"]
+    chunked = any(name == b"transfer-encoding" for name, _ in response.headers)
+    if chunked == bool(lengths):
+        raise Spoilt("the length of the answer is missing or ambiguous")
+    if lengths and lengths[0] > BODY_MOST:
+        raise Spoilt("the answer is longer than one may be")
+    return lengths[0] if lengths else None
+
+
 def _outcome(response: h11.Response) -> Outcome:
     """What a status other than 200 says. Only the backend's own word proves that nothing ran."""
     rejected = any(name == b"x-rejected" and value == b"1" for name, value in response.headers)
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,137 @@
+"""Backends whose answers are spoilt, broken or more than was asked for, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.loopback import PATIENCE_S, Backend, Registry, answer, member, request, until, world
+
+OK = answer(b"served")
+SPOILT = {
+    "noise": b"\x00\xff\x16 no answer at all\r\n\r\n",
+    "a head without end": b"HTTP/1.1 200 OK\r\nX-Filler: yes\r\n",
+    "a flood of a head": b"HTTP/1.1 200 OK\r\n" + b"X-Filler: yes\r\n" * 5_000,
+    "longer than it is": OK.replace(b"Length: 6", b"Length: 600"),
+    "two lengths": OK.replace(b"Content", b"Transfer-Encoding: chunked\r\nContent"),
+    "no length": b"HTTP/1.1 200 OK\r\n\r\nserved",
+    "3 GB": b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + bytes(50_000),
+    "chunks without end": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    + b"4000\r\n%s\r\n" % bytes(0x4000) * 10,
+    "1xx without end": b"HTTP/1.1 103 Early Hints\r\n\r\n" * 50,
+    "a wrong length": OK.replace(b"Length: 6", b"Length: -6"),
+}
+
+
+@pytest.mark.parametrize("name", SPOILT)
+def test_a_spoilt_answer_is_a_failed_attempt_that_may_have_run(name: str) -> None:
+    """A safe request is tried again at once, an unsafe one fails, and neither waits for its deadline."""
+
+    async def play() -> None:
+        async def first_spoilt(_: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(SPOILT[name] if len(backend.seen) == 1 else OK)
+
+        backend = await Backend(first_spoilt).start()
+        async with world(backend) as made:
+            client = await made.client()
+            client.send(request("safe"))
+            assert (await client.answer())[2] == b"served"
+            assert len(backend.seen) == 2 and made.upstream.open == 1
+            backend.seen.clear()
+            client.send(request("unsafe", "pay", b"x"))
+            assert (await client.answer())[0] == 500
+            assert len(backend.seen) == 1 and made.upstream.open == 0
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("more", [OK, b"noise"])
+def test_what_comes_behind_an_answer_meets_no_other_request(more: bytes) -> None:
+    async def play() -> None:
+        async def script(seen: bytes, writer: asyncio.StreamWriter) -> None:
+            name = seen.lower().split(b"x-call-id: ")[1].split(b"\r\n")[0]
+            writer.write(answer(name) + more.replace(b"served", name))
+
+        backend = await Backend(script).start()
+        async with world(backend) as made:
+            client = await made.client()
+            for number in range(20):
+                client.send(request(f"r{number}"))
+                assert (await client.answer())[2] == b"r%d" % number
+
+    asyncio.run(play())
+
+
+def test_answers_ahead_of_the_answer_are_passed_over_and_take_their_time() -> None:
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def script(_: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
+            await go.wait()
+            writer.write(OK)
+
+        backend = await Backend(script).start()
+        async with world(backend) as made:
+            client = await made.client()
+            client.send(request("a", "pay", b"x"))
+            await asyncio.wait_for(backend.arrived.wait(), PATIENCE_S)
+            asyncio.get_running_loop().call_later(0.8, go.set)  # longer than an answer may stand still
+            assert (await client.answer())[2] == b"served"
+
+    asyncio.run(play())
+
+
+def test_a_refusal_whose_body_never_comes_is_told_at_once() -> None:
+    """The next attempt, or the final answer, does not wait for the rest of a refusal."""
+
+    async def play() -> None:
+        status = answer(b"", "503 Service Unavailable", "X-Rejected: 1\r\n").replace(b": 0", b": 60")
+
+        async def first_refused(_: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(status if len(backend.seen) == 1 else OK)
+
+        backend = await Backend(first_refused).start()
+        async with world(backend) as made:
+            client = await made.client()
+            client.send(request("a", "pay", b"x"))
+            await until(lambda: bool(made.upstream.opened))
+            assert (await client.answer())[2] == b"served"
+            # Not kept: the rest of the refusal could still come on it.
+            assert backend.connections == 2
+
+    asyncio.run(play())
+
+
+def test_connections_to_a_backend_that_is_gone_are_not_kept() -> None:
+    async def play() -> None:
+        backend, registry = await Backend(OK).start(), await Registry().start()
+        async with world(backend, registry=registry) as made:
+            client = await made.client()
+            client.send(request("a"))
+            assert (await client.answer())[0] == 200
+            assert made.upstream.open == 1
+            await asyncio.wait_for(registry.asked.wait(), PATIENCE_S)
+            # Another process at the same address, under another id.
+            registry.tell(2, member("b0", backend.address, "gone"), member("b9", backend.address))
+            await until(lambda: made.upstream.open == 0)
+            client.send(request("b"))
+            assert (await client.answer())[0] == 200
+            assert backend.connections == 2
+
+    asyncio.run(play())
+
+
+def test_an_attempt_called_off_before_it_begins_leaves_nothing_behind() -> None:
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with world(backend) as made:
+            for number in range(20):
+                client = await made.client()
+                client.send(request(f"r{number}", "pay", b"x"))
+                client.close()
+            await until(lambda: made.listener.connections == 0 and made.agent.attempts == 0)
+            assert made.agent.owed == 0
+
+    asyncio.run(play())
