Send a repeatable request in one piece; hold a server at its connection limit

Checked by a probe: time-outs come in bursts of 5 to 18 at one stalled backend, on fresh and on rested connections alike, so they are not lost on the way.

- The last byte waits by itself only where it can save something: for requests that may not be repeated, fresh connections and those rested under 20 ms.
- A server that refuses connections and still answers is sent what it was seen to hold, and is not shut.
Idle connections rest for 3 s at most.
- A retry goes to a server not tried yet; 0.2 retries a request, was 0.1.

--- a/aspentrail/rules.py
+++ b/aspentrail/rules.py
@@ -21,16 +21,17 @@
 SLICE_LEAST = 4  # servers drawn from at least: two to compare and two to spare
 SLICE_US = 500_000  # one more server for each request in this time, so that each is heard from that often
 DRAWS = 8  # tries to draw a fit server before giving up: keeps a pick O(1) when most are cold or shut
-RETRY_SHARE = 0.1  # retries a request earns: a storm cannot add more than this to the load
-RETRY_BURST = 5.0  # retries saved up at most, so that a quiet agent can still move a few requests
+RETRY_SHARE = 0.2  # retries a request earns: a storm cannot add more than this to the load
+RETRY_BURST = 20.0  # retries saved up at most: one bad backend's share of a second or two
 MEMORY = 64  # samples that a usual value looks back on
 RECENT = 0.1  # weight of a new sample in a recent mean
 SERVER_RECENT = 0.3  # the same for one server, which is heard from less often
-SLACK = 0.6  # share of the room between usual latency and aim that a request may be expected to wait
+SLACK = 0.9  # share of the room between usual latency and aim that a request may be expected to wait
 LATE = 0.05  # late share tolerated before refusing in earnest; what late answers still earn is added
-LET_THROUGH = 0.05  # hopeless requests sent all the same: without samples nobody would see the trouble end
+LET_THROUGH = 0.01  # hopeless requests sent all the same: without samples nobody would see the trouble end
 COME_BACK = 0.25  # share of its aim that a refused client is told to stay away
 SHUT_LONGEST = 16  # back-off from a server that refuses connections doubles up to so many connect time-outs
+ROOM_TIMES = 4  # connect time-outs for which a server's refusal of further connections is remembered
 
 
 class Usual:
@@ -74,11 +75,32 @@
         self.stamp = now
 
 
+class Shut:
+    """A way that failed is left alone for a while that doubles; then a single trial decides on the next."""
+
+    __slots__ = ("failures", "until")
+
+    def __init__(self) -> None:
+        self.failures = self.until = 0
+
+    def fail(self, now: int, unit_us: int) -> None:
+        self.until = now + min(SHUT_LONGEST, 2**self.failures) * unit_us
+        self.failures = min(self.failures + 1, SHUT_LONGEST)
+
+    def mend(self) -> None:
+        self.failures = self.until = 0
+
+    def try_once(self, now: int, unit_us: int) -> None:
+        """If it was shut this attempt is the trial: nobody else until its outcome or another back-off."""
+        if self.until:
+            self.until = now + unit_us * SHUT_LONGEST
+
+
 class Server:
     """What this balancer knows of one backend: a peak estimate to pick by, a plain mean to forecast by."""
 
-    __slots__ = ("decay_us", "estimate", "failures", "info", "kind", "mean", "pending", "shut_until", "stamp",
-                 "warm_at")  # fmt: skip
+    __slots__ = ("decay_us", "estimate", "heard_at", "info", "kind", "mean", "pending", "room",
+                 "room_until", "shut", "stamp", "warm_at")  # fmt: skip
 
     def __init__(self, info: api.Backend, kind: Recent, cold_us: int, decay_us: float) -> None:
         self.decay_us = decay_us
@@ -91,9 +113,25 @@
         self.kind = kind
         self.estimate = self.mean = 0.0
         self.stamp = -1  # never heard from
-        self.failures = self.shut_until = 0
+        self.heard_at = -1  # its last good answer
+        self.room = self.room_until = 0  # what it was seen to hold of ours, and for how long that counts
+        self.shut = Shut()
         self.warm_at = info.started_us + cold_us if info.started_us else 0
 
+    def fit(self, now: int) -> bool:
+        return self.warm_at <= now and self.open(now)
+
+    def open(self, now: int) -> bool:
+        """Whether anything may be sent to it, be it cold."""
+        return self.shut.until <= now and (self.room_until <= now or len(self.pending) < self.room)
+
+    def crowded(self, now: int, for_us: int) -> None:
+        """It takes no further connection and still answers. Risk: a server at its limit of connections taken
+        for a dead one: what it served would go to the others, and they reach theirs. So it is sent what it
+        was seen to hold. Harm: one that has just died draws attempts for one connect time-out more."""
+        self.room = max(1, len(self.pending))
+        self.room_until = now + for_us
+
     def weight(self, now: int) -> float:
         return exp((self.stamp - now) / self.decay_us) if self.stamp >= 0 else 0.0
 
@@ -139,7 +177,7 @@
 class Held:
     """A request that still owes its final answer."""
 
-    __slots__ = ("arrived", "attempts", "cls", "expected_us", "open", "request", "risky")
+    __slots__ = ("arrived", "attempts", "cls", "expected_us", "open", "request", "risky", "tried")
 
     def __init__(self, request: api.Request, cls: api.RequestClass, expected_us: float, now: int) -> None:
         self.request = request
@@ -148,6 +186,7 @@
         self.arrived = now
         self.attempts = 0
         self.open: set[int] = set()
+        self.tried: list[Server] = []  # as many as attempts
         self.risky: dict[int, tuple[int, api.Backend]] = {}  # attempts that may have run yet: when, where
 
 
@@ -325,12 +364,15 @@
             server.observe(sample, now)
             server.kind.add(sample, now)
             self.usual[cls.name].add(event.elapsed_us)
+        unit_us = self.settings.connect_timeout_us
         if outcome is api.Outcome.UNREACHABLE or outcome is api.Outcome.RESET:
-            # Shut for a while that doubles; then the first pick is the single trial that decides on the next.
-            server.shut_until = now + min(SHUT_LONGEST, 2**server.failures) * self.settings.connect_timeout_us
-            server.failures += 1
+            if server.heard_at < 0 or now - server.heard_at > unit_us or server.shut.failures:
+                server.shut.fail(now, unit_us)
+            elif outcome is api.Outcome.UNREACHABLE:
+                server.crowded(now, ROOM_TIMES * unit_us)
         elif outcome is api.Outcome.OK:
-            server.failures = server.shut_until = 0
+            server.heard_at = now
+            server.shut.mend()
         # Only what was waited for tells whether the fleet is late. Risk: errors, whatever their cause, taken
         # for crowding; then the whole fleet is spared for what a part of it, or one class, brings on itself.
         if outcome is api.Outcome.OK:
@@ -348,11 +390,15 @@
             # lost.
             return [api.SetTimer(min(left_us, max(1, held.cls.aim_us // 8)), str(held.request.id))]
         pool = self._allowed(held, now)
-        server = self._pick(pool, held.attempts == 0, now)
+        if held.tried:
+            # Risk: a server that fails at once, and is idle for it, draws the next attempt too. Where no
+            # other is left the same may be tried again.
+            pool = [server for server in pool if server not in held.tried] or pool
+        server = self._pick(pool, held, now)
         if server is not None and self._hopeless(held, server, now):
             # While no more come late than tolerated, suspect the pair and not the fleet: one pair more.
             calm = self.late.read(now) < LATE + held.cls.late_worth
-            server = self._pick(pool, held.attempts == 0, now) if calm else None
+            server = self._pick(pool, held, now) if calm else None
             if server is not None and self._hopeless(held, server, now):
                 server = None
         if server is None:
@@ -362,9 +408,9 @@
         server.pending[key] = (now, held.expected_us)
         held.risky[held.attempts] = (now, server.info)
         held.open.add(held.attempts)
+        held.tried.append(server)
         held.attempts += 1
-        if server.shut_until:  # the single trial: nobody else until its outcome or another back-off
-            server.shut_until = now + self.settings.connect_timeout_us * SHUT_LONGEST
+        server.shut.try_once(now, self.settings.connect_timeout_us)
         return [api.Send(held.request.id, server.info.id, left_us)]
 
     def _allowed(self, held: Held, now: int) -> list[Server]:
@@ -384,7 +430,7 @@
             return [server for server in self.ready if server.info.cell == info.cell]
         return self.slice
 
-    def _pick(self, pool: list[Server], first_try: bool, now: int) -> Server | None:
+    def _pick(self, pool: list[Server], held: Held, now: int) -> Server | None:
         """The less loaded of two random servers. A cold one takes part only as the first drawn, kept by the
         chance of its warmth, and never in a retry: so its share is at most this agent's mean rate for a
         server times its warmth. Risk: all agents prefer the idle newcomer and push it over, also when the
@@ -392,10 +438,10 @@
         if not pool:
             return None
         one: Server | None = pool[int(self.random() * len(pool))]
-        if one is not None and (one.warm_at > now or one.shut_until > now):
+        if one is not None and not one.fit(now):
             left = min(1.0, max(0.0, (one.warm_at - now) / max(1, self.settings.cold_us)))
             warmth = 1.0 - (1.0 - self.settings.cold_from) * left
-            if one.shut_until > now or not first_try or self.random() >= warmth:
+            if not one.open(now) or held.attempts or self.random() >= warmth:
                 one = self._draw(pool, None, now)
         if one is None:
             return None
@@ -409,7 +455,7 @@
         start = int(self.random() * size)
         for draw in range(2 * DRAWS):
             server = pool[int(self.random() * size) if draw < DRAWS else (start + draw) % size]
-            if server is not other and server.warm_at <= now and server.shut_until <= now:
+            if server is not other and server.fit(now):
                 return server
         return None
 
--- a/clayscale/agent.py
+++ b/clayscale/agent.py
@@ -57,9 +57,9 @@
     def __init__(self, config: Config, upstream: Upstream) -> None:
         self._config = config
         self._upstream = upstream
-        self._clock = Clock()
+        self.now = Clock()
         self._loop = asyncio.get_running_loop()
-        self._balancer = Balancer(config.settings, config.seed, self._clock())
+        self.balancer = Balancer(config.settings, config.seed, self.now())
         self._classes = {cls.name: cls for cls in config.settings.classes}
         self._directory = Directory()
         self._discovery = Discovery(
@@ -71,10 +71,10 @@
         self._count = 0
 
     def start(self) -> None:
-        self._run(self._balancer.start())
+        self._run(self.balancer.start())
         known = self._config.known
         self._directory.apply(known)
-        self._tell(self._balancer.on_list, api.BackendList(api.ListKind.CACHED, known.backends))
+        self._tell(self.balancer.on_list, api.BackendList(api.ListKind.CACHED, known.backends))
 
     def reload(self, config: Config) -> None:
         """Go by another configuration. What is held goes on, under the terms it was taken on."""
@@ -82,7 +82,7 @@
             log.warning("listen is another address; that takes a restart")
         self._config = config
         self._classes = {cls.name: cls for cls in config.settings.classes}
-        self._tell(self._balancer.on_settings, config.settings)
+        self._tell(self.balancer.on_settings, config.settings)
         self._upstream.resize(
             Descriptors(config.sockets).backends, config.idle_us, config.settings.connect_timeout_us
         )
@@ -119,7 +119,7 @@
 
     def take(self, call: Call) -> Held:
         """A request has come whole. Its final answer will be the held future's result."""
-        now = self._clock()
+        now = self.now()
         self._count += 1
         held = Held(self._count, call, self._loop.create_future())
         if len(self._held) >= self._config.most_held:
@@ -138,39 +138,39 @@
             call.key,
             call.is_retry,
         )
-        self._tell(self._balancer.on_request, event, held)
+        self._tell(self.balancer.on_request, event, held)
         return held
 
     def abandon(self, held: Held) -> None:
         """The client has gone away."""
         if self._end(held):
-            self._tell(self._balancer.on_client_gone, api.ClientGone(held.id))
+            self._tell(self.balancer.on_client_gone, api.ClientGone(held.id))
 
     def _overdue(self, held: Held) -> None:
         # Risk: whatever goes wrong with a decision, a request that was taken would be lost.
         log.error("request %d was overdue", held.id)
         self._finish(held, failure())
-        self._tell(self._balancer.on_client_gone, api.ClientGone(held.id))
+        self._tell(self.balancer.on_client_gone, api.ClientGone(held.id))
 
     def _on_update(self, update: Update) -> None:
         for address in self._directory.apply(update):
             self._upstream.forget(address)
         kind = api.ListKind.FULL if update.complete else api.ListKind.DELTA
-        self._tell(self._balancer.on_list, api.BackendList(kind, update.backends))
+        self._tell(self.balancer.on_list, api.BackendList(kind, update.backends))
 
     def _on_failure(self) -> None:
-        self._tell(self._balancer.on_list, api.BackendList(api.ListKind.FAILED))
+        self._tell(self.balancer.on_list, api.BackendList(api.ListKind.FAILED))
 
     def _tell(
         self, handler: Callable[[E, int], list[api.Action]], event: E, held: Held | None = None
     ) -> None:
         """Hand an event to the module and carry out what it answers."""
         try:
-            self._run(handler(event, self._clock()))
+            self._run(handler(event, self.now()))
         except Exception:
             log.exception("deciding on %s failed", type(event).__name__)
             if held is not None and self._finish(held, failure()):
-                self._tell(self._balancer.on_client_gone, api.ClientGone(held.id))
+                self._tell(self.balancer.on_client_gone, api.ClientGone(held.id))
 
     # Actions
 
@@ -188,7 +188,7 @@
                     if task is not None:
                         task.cancel()
                 case api.SetTimer(delay_us, tag):
-                    self._loop.call_later(delay_us / 1e6, self._tell, self._balancer.on_timer, api.Timer(tag))
+                    self._loop.call_later(delay_us / 1e6, self._tell, self.balancer.on_timer, api.Timer(tag))
                 case api.Subscribe():
                     self._discovery.subscribe()
 
@@ -220,9 +220,9 @@
             return
         key = (held.id, held.attempts)
         held.attempts += 1
-        started = self._clock()
+        started = self.now()
         task = self._running[key] = asyncio.create_task(self._exchange(held.call, action))
-        task.add_done_callback(lambda done: self._attempted(held, key, done, self._clock() - started))
+        task.add_done_callback(lambda done: self._attempted(held, key, done, self.now() - started))
 
     def _attempted(
         self, held: Held, key: tuple[int, int], task: asyncio.Task[Ended], elapsed_us: int
@@ -253,7 +253,7 @@
             self._finish(held, ended.answer)
         finished = held.id not in self._held
         event = api.AttemptEnded(*key, ended.outcome, elapsed_us, finished)
-        self._tell(self._balancer.on_attempt_ended, event, held)
+        self._tell(self.balancer.on_attempt_ended, event, held)
 
 
 def refusal(retry_after_us: int) -> Answer:
--- a/clayscale/messages.py
+++ b/clayscale/messages.py
@@ -24,6 +24,7 @@
     tenant: str = ""
     cost_hint_us: int = 0
     is_retry: bool = False
+    repeatable: bool = False  # a second execution does no harm, or is dropped
     body: bytearray = field(default_factory=bytearray)
 
 
--- a/clayscale/net/http.py
+++ b/clayscale/net/http.py
@@ -78,8 +78,8 @@
             return
         self.closed = True
         # Risk: a waiter's clean-up runs later and would unregister whoever got this descriptor's number next.
-        self._loop.remove_reader(self.sock)
-        self._loop.remove_writer(self.sock)
+        self._loop.remove_reader(self.sock.fileno())
+        self._loop.remove_writer(self.sock.fileno())
         with contextlib.suppress(OSError):
             if abort:
                 self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/clayscale/net/listener.py
+++ b/clayscale/net/listener.py
@@ -491,6 +491,8 @@
     cls = agent.request_class(class_name)
     if not path.startswith(b"/") or cls is None:
         raise BadRequest(404, "the path names no class of request")
+    if _one(head, b"host") is None:
+        raise BadRequest(400, "Host is missing")  # as HTTP/1.0 may; what goes on is HTTP/1.1 and needs it
     client_id = _one(head, b"x-call-id") or b""
     if not TOKEN.fullmatch(client_id):
         raise BadRequest(400, "X-Call-Id is missing or unreadable")
@@ -512,6 +514,7 @@
         tenant=(_one(head, b"x-caller") or b"").decode("latin-1"),
         cost_hint_us=int(cost) if cost.isdigit() and len(cost) <= 12 else 0,
         is_retry=_one(head, b"x-again") == b"1",
+        repeatable=cls.effect is not Effect.UNSAFE,
     )
 
 
--- a/clayscale/net/upstream.py
+++ b/clayscale/net/upstream.py
@@ -24,9 +24,13 @@
 
 STALL_S = 0.3  # an answer that has begun and brings nothing for so long is broken; a lost packet costs 0.2
 INFORMATIONAL_MOST = 16  # 1xx answers ahead of the one that counts; more are a flood
+SETTLED_S = 0.02  # rested for so long and quiet, a connection has shown what followed its last answer
 MOMENT_S = 0.005  # what a reset needs to come back after all but the last byte: a trip, and a busy peer
 RETIRE_S = 0.5  # between looks through all that rest
 IDLE_SHARE = 0.8  # of the backend's idle limit: what has rested longer is not used again
+# The most that any rests. Risk: after a crowded moment all that it opened would stay, and a backend holds
+# only so many: other agents could not reach it. Harm: a quiet agent opens a new one now and then.
+IDLE_MOST_S = 3.0
 
 
 class NoDescriptor(Exception):
@@ -54,7 +58,7 @@
     def resize(self, descriptors: int, idle_us: int, connect_timeout_us: int) -> None:
         """Take on other limits; what is open over a lower one goes as attempts end."""
         self._descriptors = descriptors
-        self._idle_s = idle_us * IDLE_SHARE / 1e6
+        self._idle_s = min(IDLE_MOST_S, idle_us * IDLE_SHARE / 1e6)
         self._connect_timeout_s = connect_timeout_us / 1e6 or None
 
     async def attempt(self, call: Call, address: Address, timeout_us: int, fit: Callable[[], bool]) -> Ended:
@@ -71,16 +75,18 @@
 
     # Connections
 
-    def take_idle(self, address: Address) -> Wire | None:
-        """The connection that rested shortest and shows no end and no stray bytes."""
+    def take_idle(self, address: Address) -> tuple[Wire, bool] | None:
+        """The connection that rested shortest and shows no end and no stray bytes, and whether it rested long
+        enough for any to show."""
         resting = self._idle.get(address)
         while resting:
             since, wire = resting.pop()
             self._unwatch(wire)
             if not resting:
                 del self._idle[address]
-            if time.monotonic() - since < self._idle_s and wire.quiet():
-                return wire
+            rested_s = time.monotonic() - since
+            if rested_s < self._idle_s and wire.quiet():
+                return wire, rested_s >= SETTLED_S
             self.drop(wire)
         return None
 
@@ -112,7 +118,8 @@
             self.drop(wire)
             return
         self._idle.setdefault(address, deque()).append((time.monotonic(), wire))
-        asyncio.get_running_loop().add_reader(wire.sock, self._ended_at_rest, address, wire)
+        # By number: given the socket, the loop would write out its name for each that is not registered yet.
+        asyncio.get_running_loop().add_reader(wire.sock.fileno(), self._ended_at_rest, address, wire)
 
     def drop(self, wire: Wire) -> None:
         if not wire.closed:
@@ -131,7 +138,7 @@
             pass
 
     def _unwatch(self, wire: Wire) -> None:
-        asyncio.get_running_loop().remove_reader(wire.sock)
+        asyncio.get_running_loop().remove_reader(wire.sock.fileno())
 
     def _ended_at_rest(self, address: Address, wire: Wire) -> None:
         # Risk: an answer that comes late, or an end that went unseen, would meet the next request.
@@ -179,9 +186,10 @@
         self.sent = False  # the last byte may have left: from here on the request may run
 
     async def run(self) -> Ended:
-        wire = self._upstream.take_idle(self._address)
-        if wire is not None:
-            ended = await self._on(wire, rested=True)
+        idle = self._upstream.take_idle(self._address)
+        if idle is not None:
+            wire, settled = idle
+            ended = await self._on(wire, rested=True, at_once=settled and self._call.repeatable)
             if ended is not None:
                 return ended
         if not self._fit():
@@ -190,12 +198,17 @@
             wire = await self._upstream.connect(self._address)
         except OSError:
             return Ended(Outcome.UNREACHABLE)
-        return await self._on(wire, rested=False) or Ended(Outcome.UNREACHABLE)
+        return await self._on(wire, rested=False, at_once=False) or Ended(Outcome.UNREACHABLE)
 
-    async def _on(self, wire: Wire, rested: bool) -> Ended | None:
+    async def _on(self, wire: Wire, rested: bool, at_once: bool) -> Ended | None:
         """The exchange on this connection; None if it broke before the request's last byte was written."""
         parser = h11.Connection(h11.CLIENT, HEAD_MOST)
-        writer = asyncio.create_task(self._write(wire, self._frame(parser), rested))
+        try:
+            data = self._frame(parser)
+        except BaseException:
+            self._upstream.drop(wire)
+            raise
+        writer = asyncio.create_task(self._write(wire, data, rested, at_once))
         reader = _AnswerReader(self, parser, wire, writer, rested)
         try:
             ended = await reader.run()
@@ -214,30 +227,29 @@
             raise
         return ended
 
-    def _frame(self, parser: h11.Connection) -> list[bytes | memoryview]:
-        """The request in pieces, the last of them its last byte."""
+    def _frame(self, parser: h11.Connection) -> bytes:
+        """The request as it goes out. In one piece: each call to the kernel costs as much as framing does."""
         call = self._call
         headers = [*call.headers, (b"X-Budget", b"%du" % self._timeout_us)]
         if call.body or call.method != b"GET":
             headers.append((b"Content-Length", b"%d" % len(call.body)))
         head = parser.send(h11.Request(method=call.method, target=call.target, headers=headers))
         assert head is not None
-        body = memoryview(call.body)
-        if body:
-            parser.send_with_data_passthrough(h11.Data(data=body))  # type: ignore[arg-type]
+        if call.body:
+            parser.send_with_data_passthrough(h11.Data(data=memoryview(call.body)))  # type: ignore[arg-type]
         parser.send(h11.EndOfMessage())
-        if not body:
-            return [head[:-1], head[-1:]]
-        return [head, body[:-1], body[-1:]]
+        return head + call.body
 
-    async def _write(self, wire: Wire, pieces: list[bytes | memoryview], rested: bool) -> None:
+    async def _write(self, wire: Wire, data: bytes, rested: bool, at_once: bool) -> None:
         """Risk: a connection that rested, or is reset as soon as it is up, takes the whole request before the
-        reset shows, and then the request may have run. So the last byte waits a moment by itself."""
-        *most, last = pieces
+        reset shows, and then the request may have run. So the last byte waits a moment by itself, but for
+        a request that can be repeated on a connection that has settled: there the wait costs more than it
+        saves. Harm: such a connection that ends just then costs a repeat."""
+        last = data if at_once else data[-1:]
         with contextlib.suppress(OSError):  # the reader sees the break too, and any answer before it
-            for piece in most:
-                await wire.send(piece)
-            await asyncio.sleep(MOMENT_S)
+            if not at_once:
+                await wire.send(memoryview(data)[:-1])
+                await asyncio.sleep(MOMENT_S)
             if not self._fit():
                 # Risk: a drain broken by a request that was long on its way.
                 wire.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/tests/test_troubles.py
@@ -0,0 +1,61 @@
+"""Backends in trouble, over loopback sockets: what one of them does must not cost the others' service."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.loopback import PATIENCE_S, Backend, Client, answer, request, until, world
+
+OK = answer(b"served")
+ERROR = answer(b"", "500 Internal Server Error")
+
+
+def test_a_failed_request_is_tried_again_at_another_backend() -> None:
+    """One that fails at once is idle for it, and would draw the next attempt too, and the one after that."""
+
+    async def play() -> None:
+        good, bad = await Backend(OK).start(), await Backend(ERROR).start()
+        async with world(good, bad) as made:
+            # Without it each further attempt goes to the lower load, which this holds down at the bad one.
+            made.agent.balancer.servers["b0"].observe(1_000.0, made.agent.now())
+            client = await made.client()
+            for number in range(10):
+                client.send(request(f"r{number}"))
+                assert (await client.answer())[0] == 200
+            assert len(bad.seen) == 10 and len(good.seen) == 10
+
+    asyncio.run(play())
+
+
+def test_a_backend_at_its_limit_of_connections_is_not_taken_for_dead() -> None:
+    """It refuses further connections and goes on answering on those it has."""
+
+    async def play() -> None:
+        go = asyncio.Event()
+        go.set()
+
+        async def held(_: bytes, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(OK)
+
+        backend = await Backend(held).start()
+        # The window in which a good answer counts is longer than the test may take.
+        async with world(backend, connectTimeoutUs=int(PATIENCE_S * 1e6)) as made:
+            holders: list[Client] = [await made.client(), await made.client()]
+            holders[0].send(request("first", "pay", b"x"))
+            assert (await holders[0].answer())[0] == 200
+            go.clear()
+            for number, holder in enumerate(holders):
+                holder.send(request(f"held{number}", "pay", b"x"))
+            await until(lambda: len(backend.seen) == 3)
+            backend.server.close()  # those that are open stay; new ones are refused
+            further = await made.client()
+            further.send(request("further", "pay", b"x"))
+            assert (await further.answer())[0] == 503
+            go.set()
+            for holder in holders:
+                assert (await holder.answer())[0] == 200
+            further.send(request("again", "pay", b"x"))
+            assert (await further.answer())[0] == 200
+
+    asyncio.run(play())
