--- a/aspentrail/rules.py
+++ b/aspentrail/rules.py
@@ -386,9 +386,12 @@
         if left_us <= 0 or held.attempts >= self.settings.max_attempts:
             return self._end(held)
         if not self.ready and not held.attempts:
-            # No server is known: hold. No outcome will wake a held request, so a timer. Risk: it would be
-            # lost.
-            return [api.SetTimer(min(left_us, max(1, held.cls.aim_us // 8)), str(held.request.id))]
+            # No server is known: hold while an answer could still make its aim, and not longer. No outcome
+            # will wake a held request, so a timer. Risk: it would be lost.
+            hold_us = min(left_us, held.arrived + held.cls.aim_us - now)
+            if hold_us <= 0:
+                return self._end(held)
+            return [api.SetTimer(min(hold_us, max(1, held.cls.aim_us // 8)), str(held.request.id))]
         pool = self._allowed(held, now)
         if held.tried:
             # Risk: a server that fails at once, and is idle for it, draws the next attempt too. Where no
--- a/clayscale/agent.py
+++ b/clayscale/agent.py
@@ -257,9 +257,8 @@
 
 
 def refusal(retry_after_us: int) -> Answer:
-    """Trying again does no harm."""
-    headers = [(b"Retry-After", b"%.6g" % (retry_after_us / 1e6))] if retry_after_us > 0 else []
-    return Answer(503, headers, b"refused\n")
+    """Trying again does no harm, and is told when it may help."""
+    return Answer(503, [(b"Retry-After", b"%.3f" % (retry_after_us / 1e6))], b"refused\n")
 
 
 def failure() -> Answer:
--- a/clayscale/net/http.py
+++ b/clayscale/net/http.py
@@ -20,6 +20,8 @@
 SEND_BYTES = 65_536  # handed to the kernel at once, so that progress shows within a long body
 HEAD_MOST = 16_384  # the longest message head: heads here have hundreds of bytes, a flood has no end
 IN_A_ROW = 8  # reads that may succeed without a wait before the loop is let go on
+# Pieces of a body taken before the loop is let go on. Risk: chunks of one byte, ten thousand to a read.
+PIECES_IN_A_ROW = 64
 KERNEL_BUFFER = 131_072  # a socket's buffers. Risk: left to grow, they would hold megabytes a connection
 
 # Of one connection, not of the message (RFC 9110, 7.6.1); and the framing, which is made anew.
--- a/clayscale/net/listener.py
+++ b/clayscale/net/listener.py
@@ -19,7 +19,7 @@
 from clayscale.agent import Agent, Held
 from clayscale.messages import Address, Answer, Call, Headers
 from clayscale.net.budget import BODY_MOST, BodyBudget, BodyShare
-from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, Wire, end_to_end, frame
+from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, PIECES_IN_A_ROW, Wire, end_to_end, frame
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +31,7 @@
 WHOLE_S = 2.4
 IDLE_S = 10.0  # between requests. Risk: those that ask once and stay would hold a descriptor each for good
 SWEEP_S = 0.2  # between looks at who has had its time
+BLANK_MOST = 64  # bytes of empty lines ahead of a request
 STALL_S = 5.0  # a client that takes nothing for so long has stalled; answers here have 64 KiB at most
 DISCARD_MOST = 256 * 1024  # read past the last request, so that its answer is not overtaken by a reset
 LINGER_S = 1.0  # for the client to read the last answer and close. Risk: a reset would overtake the answer
@@ -147,7 +148,7 @@
                 log.warning("accepting failed: %s", fault)
                 await asyncio.sleep(0.01)
                 continue
-            self._begin(sock)
+            self.begin(sock)
             await asyncio.sleep(0)
             while len(self._clients) >= self._clients_most:
                 self._changed.clear()
@@ -159,14 +160,16 @@
         """Risk: what waits there was accepted by the machine, and may hold a whole request."""
         with contextlib.suppress(OSError):
             while True:
-                self._begin(self._sock.accept()[0])
+                self.begin(self._sock.accept()[0])
 
-    def _begin(self, sock: socket.socket) -> None:
+    def begin(self, sock: socket.socket) -> _Client:
+        """Serve an accepted connection."""
         sock.setblocking(False)
         client = _Client(self, Wire(sock))
         self._clients.add(client)
         self._silent[client] = None
         client.start()
+        return client
 
     def _evict(self) -> bool:
         """Close the client that has been idle longest of those that are owed nothing."""
@@ -214,6 +217,7 @@
         self._share: BodyShare | None = None  # of the request being read
         self._begun = False  # part of a request has come
         self._asked = False  # some request has begun here
+        self._blank = 0  # bytes of empty lines since the last request
         self._abort = False
         self._answered_last = False
         self._deaf = False  # what comes from now on is read past
@@ -223,6 +227,8 @@
 
     def start(self) -> None:
         self._task = asyncio.create_task(self._run())
+        # Risk: a task that is cancelled before its first step runs no `finally` of its own.
+        self._task.add_done_callback(lambda _: self._finish())
 
     def cancel(self) -> None:
         self._task.cancel()
@@ -250,8 +256,6 @@
         except Exception:
             log.exception("serving a client failed")
             self._abort = True
-        finally:
-            self._finish()
 
     def _finish(self) -> None:
         if self._writer is not None:
@@ -333,8 +337,12 @@
                 raise _Gone
             data = await self._receive()
             if not self._begun:
-                # Empty lines ahead of a request are passed over (RFC 9112, 2.2).
+                # Empty lines ahead of a request are passed over (RFC 9112, 2.2). Risk: nothing else comes.
+                self._blank += len(data)
                 data = data.lstrip(b"\r\n")
+                self._blank -= len(data)
+                if self._blank > BLANK_MOST:
+                    raise BadRequest(400, "no request came")
             if data:
                 if not self._begun:
                     self._begins()
@@ -343,6 +351,7 @@
     def _begins(self) -> None:
         """The first byte of a request. The first of a connection has its time from the connection's start."""
         self._begun = True
+        self._blank = 0
         if self._asked:
             self._until = time.monotonic() + WHOLE_S
         self._asked = True
@@ -355,6 +364,7 @@
         if parser.they_are_waiting_for_100_continue and not self._turns:
             reply = parser.send(h11.InformationalResponse(status_code=100, headers=[]))
             await self.wire.send(reply or b"", STALL_S)
+        pieces = 0
         while True:
             event = parser.next_event()
             if isinstance(event, h11.EndOfMessage):
@@ -364,6 +374,9 @@
                 share.add(len(event.data))
                 if len(body) > BODY_MOST:
                     raise BadRequest(413, "the body is too long")
+                pieces += 1
+                if pieces % PIECES_IN_A_ROW == 0:
+                    await asyncio.sleep(0)
             elif event is h11.NEED_DATA:
                 await share.room()
                 parser.receive_data(await self._receive())
--- a/clayscale/net/upstream.py
+++ b/clayscale/net/upstream.py
@@ -18,7 +18,7 @@
 from aspentrail.interface import Outcome
 from clayscale.messages import Address, Answer, Call, Ended
 from clayscale.net.budget import BODY_MOST
-from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, Wire, end_to_end
+from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, PIECES_IN_A_ROW, Wire, end_to_end
 
 log = logging.getLogger(__name__)
 
@@ -300,12 +300,16 @@
             raise Spoilt("an answer to a request that was not sent whole")
         length = _length(response)
         body = bytearray()
+        pieces = 0
         while not isinstance(event := await self._next(), h11.EndOfMessage):
             if not isinstance(event, h11.Data):
                 raise Spoilt("the answer broke off")
             body += event.data
             if len(body) > BODY_MOST:
                 raise Spoilt("the answer is longer than one may be")
+            pieces += 1
+            if pieces % PIECES_IN_A_ROW == 0:
+                await asyncio.sleep(0)
         if length is not None and len(body) != length:
             raise Spoilt("the answer is not as long as it says")
         self._done()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
@@ -32,6 +33,7 @@
         "no key": request("a", "book").replace(b"Idempotency-Key: ka\r\n", b""),
         "noise": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
         "a long body": request("a", "pay", bytes(200_000)),
+        "empty lines": b"\r\n" * 2_000,
         "a long head": b"GET /look HTTP/1.1\r\n" + b"X-Filler: yes\r\n" * 20_000,
     }[name]
 
@@ -41,6 +43,7 @@
     [
         "both lengths", "chunked in 1.0", "a body in a GET", "two lengths", "negative length", "huge length",
         "no id", "no time", "no class", "method", "no key", "noise", "a long body", "a long head",
+        "empty lines",
     ],
 )  # fmt: skip
 def test_what_cannot_be_served_is_answered_with_an_error_and_goes_nowhere(name: str) -> None:
@@ -157,3 +160,67 @@
                 client.close()
 
     asyncio.run(play())
+
+
+def test_a_body_in_one_byte_chunks_lets_others_go_on() -> None:
+    """Parsing such a body is slow, and all of it may be there at once."""
+
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with world(backend) as made:
+            order: list[str] = []
+
+            async def ask(name: str, data: bytes) -> None:
+                client = await made.client()
+                client.send(data)
+                assert (await client.answer())[0] == 200
+                order.append(name)
+
+            chunks = request("slow", "pay", more=CHUNKED).replace(b"Content-Length: 0\r\n", b"")
+            slow = asyncio.create_task(ask("slow", chunks + b"1\r\nx\r\n" * 20_000 + b"0\r\n\r\n"))
+            await until(lambda: made.listener.bodies.held > 0)
+            assert made.listener.bodies.held < 5_000  # a read brings 10,000: the loop was let go on meanwhile
+            await ask("usual", request("usual"))
+            await slow
+            assert len(backend.seen) == 2
+
+    asyncio.run(play())
+
+
+def test_a_client_that_is_ended_before_it_began_leaves_nothing_behind() -> None:
+    """As those are that still wait to be accepted, and have said nothing, when the agent goes away."""
+
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with world(backend) as made:
+            ours, theirs = socket.socketpair()
+            with theirs:
+                made.listener.begin(ours).cancel()
+                await until(lambda: made.listener.connections == 0)
+                assert ours.fileno() == -1
+
+    asyncio.run(play())
+
+
+def test_a_refusal_by_the_agent_itself_says_when_to_come_back() -> None:
+    """As the module's do; here all places for requests are taken."""
+
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def later(_: bytes, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(OK)
+
+        backend = await Backend(later).start()
+        async with world(backend, mostHeld=1) as made:
+            first, second = await made.client(), await made.client()
+            first.send(request("a"))
+            await asyncio.wait_for(backend.arrived.wait(), 30)
+            second.send(request("b"))
+            status, head, _ = await second.answer()
+            assert status == 503 and b"\r\nretry-after: 0.500\r\n" in head.lower()
+            go.set()
+            assert (await first.answer())[0] == 200
+
+    asyncio.run(play())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -479,3 +479,13 @@
 def test_an_attempt_never_made_is_passed_over() -> None:
     made = balancer(2)
     assert made.on_attempt_ended(AttemptEnded(5, 0, Outcome.OK, 5, True), 5) == []
+
+
+def test_without_a_server_a_request_is_held_for_its_aim_and_not_to_its_deadline() -> None:
+    made = balancer(0)
+    (timer,) = request(made, 1, SAFE, 0, left_us=1_000_000)
+    assert isinstance(timer, SetTimer)
+    (timer,) = made.on_timer(Timer(timer.tag), SAFE.aim_us - 1)
+    assert timer == SetTimer(1, "1")
+    (answer,) = made.on_timer(Timer(timer.tag), SAFE.aim_us)
+    assert isinstance(answer, Refuse) and answer.retry_after_us > 0
