Count the age of what is pending from a server's last good answer

Ruled out: CPU (0.51 of a core on average now), connections (none not taken). At fault: Server.at_least: a lost attempt of 0.5 s is 30 usual latencies, so each server with one was held for hopeless, though it answered all others in 14 ms.

The new test fails on the code before.

--- a/aspentrail/rules.py
+++ b/aspentrail/rules.py
@@ -136,12 +136,14 @@
         return exp((self.stamp - now) / self.decay_us) if self.stamp >= 0 else 0.0
 
     def at_least(self, value: float, now: int) -> float:
-        """Raised to the age of the oldest pending attempt. Risk: a hung server answers nothing, so its
-        estimate would stay low while requests pile up on it."""
+        """Raised to the age of the oldest pending attempt, counted from the last good answer. Risk: a hung
+        server answers nothing, so its estimate would stay low while requests pile up on it; but of one that
+        goes on answering, a single lost attempt tells nothing, and would have all of it refused. Harm: one
+        that serves some and lets the others wait shows by their time-outs only."""
         if not self.pending:
             return value
         sent_at, expected_us = next(iter(self.pending.values()))
-        return max(value, (now - sent_at) / expected_us)
+        return max(value, (now - max(sent_at, self.heard_at)) / expected_us)
 
     def project(self, now: int) -> float:
         """The estimate, decayed to now towards what servers of its kind do. Risk: decaying to nothing, a slow
--- a/tests/test_estimate.py
+++ b/tests/test_estimate.py
@@ -99,3 +99,15 @@
 
 def test_the_let_through_share_is_small() -> None:
     assert 0 < LET_THROUGH < 0.2
+
+
+def test_a_lost_attempt_does_not_brand_a_server_that_answers_others() -> None:
+    made = balancer(1)
+    request(made, 1, SAFE, 0)  # falls silent
+    request(made, 2, SAFE, 500_000)
+    ended(made, 2, 0, Outcome.OK, 530_000)
+    (one,) = made.servers.values()
+    assert one.forecast(530_000) < 2.0
+    assert sends(request(made, 3, SAFE, 530_000)) == ["b000"]
+    # From then on it answers nothing more: that shows.
+    assert one.forecast(1_530_000) > 10.0
