Count a busy server's silence in the answers that were due

Server.at_least, which the pick and the forecast read, took only the age of the oldest, so nothing showed until that age was past the peak estimate, 150 to 200 ms. Ruled out: the one slow server, some 5 of its answers late in half a second, shows by its mean.

The new test fails on the code before.

--- a/aspentrail/rules.py
+++ b/aspentrail/rules.py
@@ -30,6 +30,7 @@
 LATE = 0.05  # late share tolerated before refusing in earnest; what late answers still earn is added
 LET_THROUGH = 0.01  # hopeless requests sent all the same: without samples nobody would see the trouble end
 COME_BACK = 0.25  # share of its aim that a refused client is told to stay away
+SILENT = 3.0  # intervals between answers that a silence may last by chance: one in twenty is longer
 SHUT_LONGEST = 16  # back-off from a server that refuses connections doubles up to so many connect time-outs
 ROOM_TIMES = 4  # connect time-outs for which a server's refusal of further connections is remembered
 
@@ -154,11 +155,19 @@
         """Raised to the age of the oldest pending attempt, counted from the last good answer. Risk: a hung
         server answers nothing, so its estimate would stay low while requests pile up on it; but of one that
         goes on answering, a single lost attempt tells nothing, and would have all of it refused. Harm: one
-        that serves some and lets the others wait shows by their time-outs only."""
+        that serves some and lets the others wait shows by their time-outs only.
+
+        The more wait for it, the sooner silence tells: what is pending over the rate of answers is the
+        latency (Little's law), and the rate is at most one in that silence. Risk: a busy server that stops
+        for a second is sent as much again before its age shows. So too one that dies, hangs or is cut off.
+        Harm: answers that come in batches pass for silence; hence a chance of SILENT, and no less than the
+        usual latency of the oldest is waited for."""
         if not self.pending:
             return value
         sent_at, expected_us = next(iter(self.pending.values()))
-        return max(value, (now - max(sent_at, self.heard_at)) / expected_us)
+        age = (now - max(sent_at, self.heard_at)) / expected_us
+        silent = (now - max(sent_at + expected_us, self.heard_at)) / expected_us
+        return max(value, age, silent * len(self.pending) / SILENT)
 
     def project(self, now: int) -> float:
         """The estimate, decayed to now towards what servers of its kind do. Risk: decaying to nothing, a slow
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -99,3 +99,43 @@
         backend.stop()
 
     asyncio.run(play())
+
+
+def test_a_busy_backend_that_falls_silent_is_seen_by_the_answers_that_were_due() -> None:
+    """Twelve wait for it: its silence tells long before the oldest is old. One good answer ends that."""
+
+    async def play() -> None:
+        go = asyncio.Event()
+        held: list[asyncio.StreamWriter] = []
+
+        async def script(_: bytes, writer: asyncio.StreamWriter) -> None:
+            if go.is_set():
+                held.append(writer)
+            else:
+                writer.write(OK)
+
+        backend = await Backend(script).start()
+        async with world(backend) as made:
+            crowd = [await made.client() for _ in range(12)]
+            for number in range(20):  # what is usual
+                crowd[0].send(request(f"usual{number}"))
+                assert (await crowd[0].answer())[0] == 200
+            go.set()
+            for number, client in enumerate(crowd):
+                client.send(request(f"crowd{number}"))
+            await until(lambda: len(held) == len(crowd))
+            (server,) = made.agent.balancer.servers.values()
+            sent_at, expected_us = next(iter(server.pending.values()))
+            await until(lambda: made.agent.now() - sent_at > max(500_000, 10 * expected_us))
+            now = made.agent.now()
+            assert server.forecast(now) > 2 * (now - sent_at) / expected_us
+            assert server.load(now) > 2 * 13 * (now - sent_at) / expected_us
+            held[-1].write(OK)
+            await until(lambda: len(server.pending) == len(crowd) - 1)
+            assert server.at_least(0.0, server.heard_at) == 0.0
+            for writer in held[:-1]:
+                writer.write(OK)
+            for client in crowd:
+                assert (await client.answer())[0] == 200
+
+    asyncio.run(play())
