Leave silent servers out of the draw; charge fast failures for the queue; settled connections first

Ruled out by the loads: a hung server's own (age times pending) loses against any other; at fault is Balancer._pick, since two of seven hung are one pair in twenty-one, and Balancer._place, which tries another pair only while few come late.

The three new tests fail on the code before.

--- a/aspentrail/rules.py
+++ b/aspentrail/rules.py
@@ -31,6 +31,7 @@
 LET_THROUGH = 0.01  # hopeless requests sent all the same: without samples nobody would see the trouble end
 COME_BACK = 0.25  # share of its aim that a refused client is told to stay away
 SILENT = 3.0  # intervals between answers that a silence may last by chance: one in twenty is longer
+SILENT_LONG = 8.0  # usual latencies: one that looks silent for longer is drawn only where all others do too
 SHUT_LONGEST = 16  # back-off from a server that refuses connections doubles up to so many connect time-outs
 ROOM_TIMES = 4  # connect time-outs for which a server's refusal of further connections is remembered
 
@@ -141,6 +142,13 @@
         """Whether anything may be sent to it, be it cold."""
         return self.shut.until <= now and (self.room_until <= now or len(self.pending) < self.room)
 
+    def silent(self, now: int) -> bool:
+        """Whether it answers nothing of what waits for it. Risk: with two of seven hung, one draw in twenty
+        has both, and what is sent there waits for its whole time. It is drawn again with its next good
+        answer, or for a trial once nothing waits there. Harm: one that stops for a moment is left out for as
+        long, and its share goes to the others."""
+        return self.at_least(0.0, now) > SILENT_LONG
+
     def crowded(self, now: int, for_us: int) -> None:
         """It takes no further connection and still answers. Risk: a server at its limit of connections taken
         for a dead one: what it served would go to the others, and they reach theirs. So it is sent what it
@@ -407,8 +415,11 @@
             server.observe(max(sample, server.project(now)), now, ahead=ahead)
         elif outcome is not api.Outcome.OK:
             # Risk: a dead server refuses connections at once, and its tiny elapsed times would draw every
-            # pick.
-            server.observe(max(PENALTY, sample), now, waited=False)
+            # pick. Nor does it have a queue, so it is charged for the one that the others have: counted
+            # without, any server that fails fast beats all that are busy. Harm: in a crowd, one stray
+            # failure has a good server passed over until the peak has faded.
+            penalty = PENALTY * (1.0 + server.kind.ahead)
+            server.observe(max(penalty, sample), now, waited=False)
         else:
             server.observe(sample, now, ahead=ahead)
             server.kind.hear(sample, ahead, now)
@@ -493,23 +504,28 @@
         if one is not None and not one.fit(now):
             left = min(1.0, max(0.0, (one.warm_at - now) / max(1, self.settings.cold_us)))
             warmth = 1.0 - (1.0 - self.settings.cold_from) * left
-            if not one.open(now) or held.attempts or self.random() >= warmth:
+            if not one.open(now) or one.silent(now) or held.attempts or self.random() >= warmth:
                 one = self._draw(pool, None, now)
+        elif one is not None and one.silent(now):
+            one = self._draw(pool, None, now)
         if one is None:
             return None
         two = self._draw(pool, one, now)
         return one if two is None or one.load(now) <= two.load(now) else two
 
     def _draw(self, pool: list[Server], other: Server | None, now: int) -> Server | None:
-        """A random server that is warm, not shut and not `other`. The last draws walk on from a random
-        place, so that a small pool is searched through."""
+        """A random server that is warm, not shut and not `other`; a silent one only if no other is found. The
+        last draws walk on from a random place, so that a small pool is searched through."""
         size = len(pool)
         start = int(self.random() * size)
+        silent = None
         for draw in range(2 * DRAWS):
             server = pool[int(self.random() * size) if draw < DRAWS else (start + draw) % size]
             if server is not other and server.fit(now):
-                return server
-        return None
+                if not server.silent(now):
+                    return server
+                silent = server
+        return silent
 
     def _hopeless(self, held: Held, server: Server, now: int) -> bool:
         """Whether even the better of two servers is expected to answer too late. Risk: in overload, work
--- a/clayscale/net/upstream.py
+++ b/clayscale/net/upstream.py
@@ -75,16 +75,22 @@
 
     # Connections
 
-    def take_idle(self, address: Address) -> tuple[Wire, bool] | None:
+    def take_idle(self, address: Address, settled: bool = False) -> tuple[Wire, bool] | None:
         """The connection that rested shortest and shows no end and no stray bytes, and whether it rested long
-        enough for any to show."""
+        enough for any to show. `settled`: one that did is asked for first. Harm: one connection or two more
+        stay in use than would have to."""
         resting = self._idle.get(address)
         while resting:
-            since, wire = resting.pop()
+            now = time.monotonic()
+            at = len(resting) - 1
+            if settled:
+                at = next((i for i in range(at, -1, -1) if now - resting[i][0] >= SETTLED_S), at)
+            since, wire = resting[at]
+            del resting[at]
             self._unwatch(wire)
             if not resting:
                 del self._idle[address]
-            rested_s = time.monotonic() - since
+            rested_s = now - since
             if rested_s < self._idle_s and wire.quiet():
                 return wire, rested_s >= SETTLED_S
             self.drop(wire)
@@ -186,7 +192,7 @@
         self.sent = False  # the last byte may have left: from here on the request may run
 
     async def run(self) -> Ended:
-        idle = self._upstream.take_idle(self._address)
+        idle = self._upstream.take_idle(self._address, settled=self._call.repeatable)
         if idle is not None:
             wire, settled = idle
             ended = await self._on(wire, rested=True, at_once=settled and self._call.repeatable)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
+from clayscale.net import upstream
 from tests.loopback import PATIENCE_S, Backend, Registry, answer, member, request, until, world
 
 OK = answer(b"served")
@@ -135,3 +137,40 @@
             assert made.agent.owed == 0
 
     asyncio.run(play())
+
+
+def test_a_connection_that_has_settled_goes_before_one_just_used(monkeypatch: pytest.MonkeyPatch) -> None:
+    """On it a request that may be repeated goes out in one piece, and does not wait a moment for a reset."""
+    clock = SimpleNamespace(now=100.0)
+    clock.monotonic = lambda: clock.now
+    monkeypatch.setattr(upstream, "time", clock)
+
+    async def play() -> None:
+        go = asyncio.Event()
+        used: list[asyncio.StreamWriter] = []
+
+        async def script(_: bytes, writer: asyncio.StreamWriter) -> None:
+            used.append(writer)
+            await go.wait()
+            writer.write(OK)
+
+        backend = await Backend(script).start()
+        async with world(backend) as made:
+            clients = [await made.client(), await made.client()]
+            for number, client in enumerate(clients):
+                client.send(request(f"first{number}"))
+            await until(lambda: len(used) == 2)
+            go.set()
+            for client in clients:
+                assert (await client.answer())[0] == 200
+            clock.now += 1.0
+            for number in range(2):
+                clients[0].send(request(f"next{number}"))
+                assert (await clients[0].answer())[0] == 200
+            assert backend.connections == 2 and used[2] is not used[3]
+            # None of the two has settled: the one that rested shortest, so that a third could be let go.
+            clients[0].send(request("last"))
+            assert (await clients[0].answer())[0] == 200
+            assert used[4] is used[3]
+
+    asyncio.run(play())
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -139,3 +139,67 @@
                 assert (await client.answer())[0] == 200
 
     asyncio.run(play())
+
+
+def test_a_backend_that_fails_at_once_does_not_beat_all_that_are_busy() -> None:
+    """It has no queue, so without the others' counted in, it wins each draw against a backend that works."""
+
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def held(_: bytes, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(OK)
+
+        good, bad = await Backend(held).start(), await Backend(ERROR).start()
+        async with world(good, bad) as made:
+            made.agent.balancer.kinds["m"].ahead = 8.0  # as in a crowd: so many were ahead of each
+            clients = [await made.client() for _ in range(12)]
+            for number, client in enumerate(clients):
+                client.send(request(f"r{number}"))
+                await until(lambda number=number: len(good.seen) == number + 1)  # type: ignore[misc]
+            assert len(bad.seen) == 1
+            go.set()
+            for client in clients:
+                assert (await client.answer())[0] == 200
+
+    asyncio.run(play())
+
+
+def test_backends_that_answer_nothing_are_not_drawn_while_another_answers() -> None:
+    """Of three two hang: one pair in three is both of them, and would hold its request to the deadline."""
+
+    async def play() -> None:
+        hung = asyncio.Event()
+        go = asyncio.Event()
+
+        async def hanging(_: bytes, writer: asyncio.StreamWriter) -> None:
+            if hung.is_set():
+                await go.wait()
+            writer.write(OK)
+
+        backends = [await Backend(hanging).start(), await Backend(hanging).start(), await Backend(OK).start()]
+        async with world(*backends) as made:
+            clients = [await made.client() for _ in range(24)]
+            for number in range(20):  # what is usual
+                clients[0].send(request(f"usual{number}"))
+                assert (await clients[0].answer())[0] == 200
+            hung.set()
+            for number, client in enumerate(clients):
+                client.send(request(f"crowd{number}"))
+            servers = made.agent.balancer.servers
+            await until(lambda: sum(len(one.seen) for one in backends) == 44 and not servers["b2"].pending)
+            assert servers["b0"].pending and servers["b1"].pending
+            for one in (servers["b0"], servers["b1"]):
+                await until(lambda one=one: one.at_least(0.0, made.agent.now()) > 100)  # type: ignore[misc]
+            before = len(backends[2].seen)
+            usual = await made.client()
+            for number in range(40):
+                usual.send(request(f"next{number}"))
+                assert (await usual.answer())[0] == 200
+            assert len(backends[2].seen) == before + 40
+            go.set()
+            for client in clients:
+                assert (await client.answer())[0] == 200
+
+    asyncio.run(play())
