Close idle clients after 2 s, and sooner while clients run out of connections

Ruled out: the core (0.04 to 0.2 used meanwhile), the backends (1 to 4 pending), the body budget (empty), the accept queue (not full). At fault: listener.IDLE_S, 10 s: who asks once and stays keeps its place in the clients' third, until the agent closes it.

- A client at rest is closed after 2 s.
- While clients hold nine tenths of their third, the longest at rest go at once, but none within 0.1 s of its answer.

Both tests fail on the code before.

--- a/clayscale/__main__.py
+++ b/clayscale/__main__.py
@@ -50,7 +50,7 @@
         log.error("the new configuration is not used: %s", " ".join(str(fault).split()))
         return
     agent.reload(config)
-    listener.resize(Descriptors(config.sockets).clients, config.memory_bytes)
+    listener.resize(Descriptors(config.sockets), config.memory_bytes)
     log.warning("a new configuration is in force: discovery %s:%d", *config.discovery)
 
 
@@ -63,7 +63,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, going_away.set)
     try:
-        listener = Listener(agent, config.listen, descriptors.clients, BodyBudget(config.memory_bytes))
+        listener = Listener(agent, config.listen, descriptors, BodyBudget(config.memory_bytes))
     except OSError as fault:
         raise BadConfig(f"listen: {config.listen[0]}:{config.listen[1]}: {fault.strerror}") from None
     loop.add_signal_handler(signal.SIGHUP, reload, os.environ, agent, listener)
--- a/clayscale/net/budget.py
+++ b/clayscale/net/budget.py
@@ -22,6 +22,7 @@
         usable = max(8, sockets - OTHER_DESCRIPTORS)
         self.clients = int(usable * CLIENT_SHARE)
         self.backends = usable - self.clients
+        self.asking = sockets // 3  # the most that clients hold for requests, by the terms of deployment
 
 
 class BodyBudget:
--- a/clayscale/net/listener.py
+++ b/clayscale/net/listener.py
@@ -11,7 +11,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Mapping
 from dataclasses import dataclass
-from itertools import chain
+from itertools import chain, islice
 from urllib.parse import parse_qs, unquote
 
 import h11
@@ -19,7 +19,7 @@
 from aspentrail.interface import Effect, RequestClass
 from clayscale.agent import Agent, Held
 from clayscale.messages import Address, Answer, Call, Headers
-from clayscale.net.budget import BODY_MOST, BodyBudget, BodyShare
+from clayscale.net.budget import BODY_MOST, BodyBudget, BodyShare, Descriptors
 from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, PIECES_IN_A_ROW, Wire, end_to_end, frame
 
 log = logging.getLogger(__name__)
@@ -30,7 +30,11 @@
 # From the connection's start, or a request's first byte, to the request's last. Clients that only open
 # connections may be closed after 2 s, and those that send no whole request are owed an end within 3 s.
 WHOLE_S = 2.4
-IDLE_S = 10.0  # between requests. Risk: those that ask once and stay would hold a descriptor each for good
+# Between requests. Risk: those that ask once and stay hold a descriptor each for good, here and where they
+# run, and clients have only so many: their next request then finds none. Harm: who asks seldom connects anew.
+IDLE_S = 2.0
+REST_S = 0.1  # what a client may rest for in any case, to ask again at once
+ASKING_SHARE = 0.9  # of what clients may hold for requests: from here on the longest at rest go
 SWEEP_S = 0.2  # between looks at who has had its time
 BLANK_MOST = 64  # bytes of empty lines ahead of a request
 STALL_S = 5.0  # a client that takes nothing for so long has stalled; answers here have 64 KiB at most
@@ -72,11 +76,14 @@
 class Listener:
     """All clients of this agent."""
 
-    def __init__(self, agent: Agent, address: Address, clients: int, bodies: BodyBudget) -> None:
+    def __init__(
+        self, agent: Agent, address: Address, descriptors: Descriptors, bodies: BodyBudget
+    ) -> None:
         self.agent = agent
         self.bodies = bodies
         self.closing = False
-        self._clients_most = clients
+        self._clients_most = descriptors.clients
+        self._asking_most = descriptors.asking
         self._clients: set[_Client] = set()
         # Those owed nothing, longest idle first. Risk: a crowd that says nothing displaces the clients that
         # do; so who has sent nothing yet stands apart, and goes first.
@@ -99,9 +106,10 @@
     def connections(self) -> int:
         return len(self._clients)
 
-    def resize(self, clients: int, memory_bytes: int) -> None:
+    def resize(self, descriptors: Descriptors, memory_bytes: int) -> None:
         """Take on other limits; what is open over a lower one goes as it comes to rest."""
-        self._clients_most = clients
+        clients = self._clients_most = descriptors.clients
+        self._asking_most = descriptors.asking
         self.bodies.resize(memory_bytes)
         for _ in range(len(self._clients) - clients):
             if not self._evict():
@@ -136,6 +144,7 @@
             now = time.monotonic()
             for client in [*self._silent, *self._resting]:
                 client.expire(now)
+            self._relieve()
 
     # Accepting
 
@@ -182,6 +191,18 @@
                 return True
         return False
 
+    def _relieve(self) -> None:
+        """Close those that have rested longest while clients hold nearly all that they may for requests.
+        Risk: in a crowd that asks once and stays, all of these rest, and nobody can ask for IDLE_S more.
+        So too where clients leave connections behind. Harm: the last tenth of the usual clients' connections
+        is opened anew for each request."""
+        spare = int(self._asking_most * ASKING_SHARE) - (len(self._clients) - len(self._silent))
+        now = time.monotonic()
+        for client in [*islice(self._resting, max(0, -spare))]:
+            if client.rested(now) < REST_S:
+                return
+            client.end()
+
     # What clients report
 
     def heard(self, client: _Client) -> None:
@@ -197,6 +218,7 @@
 
     def rests(self, client: _Client) -> None:
         self._resting[client] = None
+        self._relieve()
         self._changed.set()
 
     def ended(self, client: _Client) -> None:
@@ -223,6 +245,7 @@
         self._answered_last = False
         self._deaf = False  # what comes from now on is read past
         self._until = time.monotonic() + WHOLE_S  # for a whole request, or at rest for the next to begin
+        self._answered = 0.0  # when it was last owed nothing more
         self._writer: asyncio.Task[None] | None = None
         self._linger: asyncio.TimerHandle | None = None
 
@@ -234,6 +257,9 @@
     def cancel(self) -> None:
         self._task.cancel()
 
+    def rested(self, now: float) -> float:
+        return now - self._answered
+
     def end(self) -> None:
         """Close if it is owed nothing and nothing of a request has come."""
         if not self._turns and not self._begun and self.wire.quiet():
@@ -457,7 +483,8 @@
             turn.share.release()
         self._more.set()
         if not self._turns:
-            self._until = time.monotonic() + (WHOLE_S if self._begun else IDLE_S)
+            self._answered = time.monotonic()
+            self._until = self._answered + (WHOLE_S if self._begun else IDLE_S)
             self._listener.rests(self)
 
     async def _write_answer(self, turn: _Turn) -> bool:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -209,7 +209,7 @@
         self.upstream = Upstream(descriptors.backends, config.idle_us, config.settings.connect_timeout_us)
         self.agent = Agent(config, self.upstream)
         bodies = BodyBudget(config.memory_bytes)
-        self.listener = Listener(self.agent, ("127.0.0.1", 0), descriptors.clients, bodies)
+        self.listener = Listener(self.agent, ("127.0.0.1", 0), descriptors, bodies)
         self.agent.start()
 
     async def client(self) -> Client:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,10 +7,12 @@
 import gc
 import operator
 import socket
+import time
 import weakref
 
 import pytest
 
+from clayscale.net import listener
 from tests.loopback import Backend, answer, connect, request, until, world
 
 OK = answer(b"served")
@@ -166,6 +168,48 @@
     asyncio.run(play())
 
 
+def test_those_that_ask_once_and_stay_make_way_for_those_that_ask(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Clients may hold a third of the descriptors for requests. If all of these rest, none is left to ask on
+    until some are closed; those that rested longest go first, and one that goes on asking is kept."""
+    monkeypatch.setattr(listener, "IDLE_S", 1_000.0)  # none goes for having rested too long
+
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with world(backend) as made:
+            third = made.config.sockets // 3
+            usual = await made.client()
+            stay = []
+            for number in range(third + 10):
+                client = await made.client()
+                client.send(request(f"once{number}"))
+                assert (await client.answer())[0] == 200
+                stay.append(client)
+                usual.send(request(f"usual{number}"))
+                assert (await usual.answer())[0] == 200
+            assert await stay[0].ended()
+            await until(lambda: made.listener.connections < third)
+            usual.send(request("last"))
+            assert (await usual.answer())[0] == 200
+            assert len(backend.seen) == 2 * (third + 10) + 1
+
+    asyncio.run(play())
+
+
+def test_a_connection_that_has_rested_is_closed_while_another_client_may_need_it() -> None:
+    """Asked once and kept for good, a few at a time, they would take all that clients may hold."""
+
+    async def play() -> None:
+        async with world(await Backend(OK).start()) as made:
+            client = await made.client()
+            client.send(request("once"))
+            assert (await client.answer())[0] == 200
+            (served,) = made.listener._resting
+            assert served._until <= time.monotonic() + 2.0
+            assert await client.ended()
+
+    asyncio.run(play())
+
+
 def test_a_body_in_one_byte_chunks_lets_others_go_on() -> None:
     """Parsing such a body is slow, and all of it may be there at once."""
 
