Keep what was read until it is taken; decide each close from the connection's own state

Cause: asyncio's sock_recv hands bytes over in a future. Cancelled between the read and the step that takes it, the task threw them away, and whoever decided to close saw no turn, no beginning and an empty socket.

Change: Wire reads in a reader callback, only while somebody waits, and holds the bytes until they are taken; `quiet` tells of them. A connection looks and closes in one step. Accepting is a callback too. A client that has begun a request is refused with an answer when its room is needed, not cut. At a stop resting connections are kept for GOING_AWAY_S and told with their next answer, which is the last only if nothing is unread behind it. When an attempt's time is up, an answer that has come whole counts. The answer's reader is a plain state machine.

--- a/clayscale/net/discovery.py
+++ b/clayscale/net/discovery.py
@@ -200,8 +200,7 @@
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
-                async with asyncio.timeout(SILENCE_S):
-                    parser.receive_data(await wire.receive())
+                parser.receive_data(await wire.receive(SILENCE_S))
             elif isinstance(event, h11.Response):
                 if event.status_code != 200:
                     raise Malformed(f"status {event.status_code}")
--- a/clayscale/net/http.py
+++ b/clayscale/net/http.py
@@ -10,7 +10,7 @@
 import contextlib
 import socket
 import struct
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import h11
 
@@ -19,7 +19,6 @@
 RECEIVE_BYTES = 65_536  # read at once: a few pieces to the megabyte, and the most a stream holds
 SEND_BYTES = 65_536  # handed to the kernel at once, so that progress shows within a long body
 HEAD_MOST = 16_384  # the longest message head: heads here have hundreds of bytes, a flood has no end
-IN_A_ROW = 8  # reads that may succeed without a wait before the loop is let go on
 # Pieces of a body taken before the loop is let go on. Risk: chunks of one byte, ten thousand to a read.
 PIECES_IN_A_ROW = 64
 KERNEL_BUFFER = 131_072  # a socket's buffers. Risk: left to grow, they would hold megabytes a connection
@@ -32,26 +31,105 @@
 
 
 class Wire:
-    """A connected socket."""
+    """A connected socket.
 
-    __slots__ = ("_in_a_row", "_loop", "closed", "sock")
+    Bytes leave the kernel in a reader callback, and only while somebody waits for them. From then on they
+    are held here until `receive` hands them over in a step of its caller's. Risk: a read whose result travels
+    in a future loses it when the reader is cancelled in between, and who decides to close sees nothing of it.
+    """
+
+    __slots__ = ("_at_rest", "_fd", "_inbox", "_loop", "_waiter", "_watched", "closed", "sock")
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         self.closed = False
+        self._fd = sock.fileno()  # by number: given the socket, the loop would write out its name
         self._loop = asyncio.get_running_loop()
-        self._in_a_row = 0
+        self._inbox: bytes | OSError | None = None  # taken from the kernel, and by nobody from here
+        self._waiter: asyncio.Future[None] | None = None
+        self._at_rest: Callable[[], None] | None = None
+        # The loop watches for input from the first wait to the end: asked for each wait anew, it would cost
+        # two calls to the kernel a message. Input that nobody waits for stops the watch until the next wait.
+        self._watched = False
         # Risk: the last byte of a request, sent by itself, would wait for the peer's delayed acknowledgement.
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
-    async def receive(self) -> bytes:
-        """The next bytes, empty at the end of the peer's sending. Risk: asyncio's read does not suspend while
-        bytes are there, so a peer that sends as fast as it is read would have the loop to itself."""
-        self._in_a_row += 1
-        if self._in_a_row % IN_A_ROW == 0:
-            await asyncio.sleep(0)
-        return await self._loop.sock_recv(self.sock, RECEIVE_BYTES)
+    async def receive(self, timeout_s: float | None = None) -> bytes:
+        """The next bytes, at most RECEIVE_BYTES, empty at the peer's end. One caller at a time.
+
+        Always suspends unless bytes are held. Cancelled, it loses nothing: what was read is had by the next
+        call. Raises OSError of the socket, and TimeoutError if nothing has come in `timeout_s` seconds.
+        """
+        if self._inbox is None:
+            waiter = self._waiter = self._loop.create_future()
+            self._watch()
+            timer = None if timeout_s is None else self._loop.call_later(timeout_s, self._overdue, waiter)
+            try:
+                await waiter
+            finally:
+                self._waiter = None
+                if timer is not None:
+                    timer.cancel()
+        return self._take()
+
+    def unread(self) -> bytes:
+        """What has come by now, without a wait; empty if nothing has, or only the end. Raises OSError."""
+        if self._inbox is None:
+            try:
+                return self.sock.recv(RECEIVE_BYTES)
+            except (BlockingIOError, InterruptedError):
+                return b""
+        return self._take()
+
+    def rest(self, disturbed: Callable[[], None]) -> None:
+        """Nobody receives for now. `disturbed` is called, once, when the peer says something or ends."""
+        self._at_rest = disturbed
+        self._watch()
+
+    def wake(self) -> None:
+        """The rest is over."""
+        self._at_rest = None
+
+    def _take(self) -> bytes:
+        inbox, self._inbox = self._inbox, None
+        if isinstance(inbox, OSError):
+            raise inbox
+        assert inbox is not None
+        return inbox
+
+    def _watch(self) -> None:
+        if not self._watched and not self.closed:
+            self._watched = True
+            self._loop.add_reader(self._fd, self._readable)
+
+    def _unwatch(self) -> None:
+        if self._watched:
+            self._watched = False
+            self._loop.remove_reader(self._fd)
+
+    def _readable(self) -> None:
+        waiter = self._waiter
+        if waiter is None or waiter.done():
+            # Risk: a peer that sends on unread would wake the loop for ever, and fill memory if it were read.
+            self._unwatch()
+            disturbed, self._at_rest = self._at_rest, None
+            if disturbed is not None:
+                disturbed()
+            return
+        try:
+            self._inbox = self.sock.recv(RECEIVE_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as fault:
+            self._inbox = fault
+        if not self._inbox or isinstance(self._inbox, OSError):
+            self._unwatch()  # an end stays readable
+        waiter.set_result(None)
+
+    def _overdue(self, waiter: asyncio.Future[None]) -> None:
+        if not waiter.done():
+            waiter.set_exception(TimeoutError())
 
     async def send(self, data: bytes | bytearray | memoryview, stall_s: float | None = None) -> None:
         """Return once the kernel has it all. A piece that takes longer than `stall_s` raises TimeoutError."""
@@ -65,7 +143,9 @@
                 await self._loop.sock_sendall(self.sock, view[start : start + SEND_BYTES])
 
     def quiet(self) -> bool:
-        """Whether nothing has come in: no bytes, no end, no error."""
+        """Whether nothing has come in that was not received: no bytes, no end, no error."""
+        if self._inbox is not None:
+            return False
         try:
             self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -84,8 +164,9 @@
             return
         self.closed = True
         # Risk: a waiter's clean-up runs later and would unregister whoever got this descriptor's number next.
-        self._loop.remove_reader(self.sock.fileno())
-        self._loop.remove_writer(self.sock.fileno())
+        self._unwatch()
+        self._loop.remove_writer(self._fd)
+        self._at_rest = None
         with contextlib.suppress(OSError):
             if abort:
                 self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/clayscale/net/listener.py
+++ b/clayscale/net/listener.py
@@ -25,6 +25,8 @@
 log = logging.getLogger(__name__)
 
 READY = b"/health/ready"
+ACCEPTS_IN_A_ROW = 16  # connections accepted before the loop is let go on
+ACCEPT_AGAIN_S = 0.01  # after a failed accept: descriptors come back as attempts end
 BACKLOG = 4096  # a crowd waits here and not in lost SYNs, which come again only after a second
 PIPELINE_MOST = 16  # requests open on one connection; whoever sends more at once is turned away
 # From the connection's start, or a request's first byte, to the request's last. Clients that only open
@@ -94,7 +96,8 @@
         self._sock.setblocking(False)
         # Accepted sockets inherit it.
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER)
-        self._accepting = asyncio.create_task(self._accept())
+        self._accepting = False
+        self._resume()
         self._sweeping = asyncio.create_task(self._sweep())
 
     @property
@@ -114,25 +117,35 @@
         for _ in range(len(self._clients) - clients):
             if not self._evict():
                 break
-        self._changed.set()
+        self._changed_now()
 
     async def close(self) -> None:
-        """Going away: finish what is owed, and take on what still comes while it comes."""
+        """Going away: finish what is owed, and take on what still comes while it comes.
+
+        Connections that rest are kept for GOING_AWAY_S, and the next answer on each says that it is the last.
+        Risk: cut at once, all their clients connect anew together, to an agent that is going away. Then no
+        more are accepted than wait already, and what rests with nothing unread is closed.
+        """
         until = time.monotonic() + self.agent.longest_deadline_us / 1e6 + GOING_AWAY_MORE_S
         self.closing = True
-        self._end_resting()
         await asyncio.sleep(GOING_AWAY_S)
-        self._accepting.cancel()
-        self._empty_backlog()
+        while not self._empty_backlog() and time.monotonic() < until:
+            await self._change(until)
+        self._pause()
         self._sock.close()
         while self._clients and time.monotonic() < until:
             self._end_resting()
-            self._changed.clear()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(until - time.monotonic()):
-                    await self._changed.wait()
+            if self._clients:
+                await self._change(until)
         self._sweeping.cancel()
 
+    async def _change(self, until: float) -> None:
+        """Wait for a client to rest or end, for SWEEP_S at most: what has just come is looked at again."""
+        self._changed.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(min(SWEEP_S, max(0.0, until - time.monotonic()))):
+                await self._changed.wait()
+
     def _end_resting(self) -> None:
         for client in [*self._silent, *self._resting]:
             client.end()
@@ -148,29 +161,49 @@
 
     # Accepting
 
-    async def _accept(self) -> None:
-        """Risk: asyncio's own server stops for a second when descriptors run out, and everybody waits."""
-        loop = asyncio.get_running_loop()
-        while True:
+    def _resume(self) -> None:
+        if not self._accepting and self._sock.fileno() >= 0:
+            self._accepting = True
+            asyncio.get_running_loop().add_reader(self._sock.fileno(), self._accept)
+
+    def _pause(self) -> None:
+        if self._accepting:
+            self._accepting = False
+            asyncio.get_running_loop().remove_reader(self._sock.fileno())
+
+    def _accept(self) -> None:
+        """Accept in the step in which it is known that somebody waits. Risk: a connection that travels in a
+        future is dropped with it, and may hold a whole request.
+
+        Risk: asyncio's own server stops for a second when descriptors run out, and everybody waits."""
+        for _ in range(ACCEPTS_IN_A_ROW):
+            if len(self._clients) >= self._clients_most and not self._evict():
+                self._pause()  # until a client rests or ends
+                return
             try:
-                sock, _ = await loop.sock_accept(self._sock)
+                sock, _ = self._sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
             except OSError as fault:
                 log.warning("accepting failed: %s", fault)
-                await asyncio.sleep(0.01)
-                continue
+                self._pause()
+                asyncio.get_running_loop().call_later(ACCEPT_AGAIN_S, self._resume)
+                return
             self.begin(sock)
-            await asyncio.sleep(0)
-            while len(self._clients) >= self._clients_most:
-                self._changed.clear()
-                if not self._evict():
-                    await self._changed.wait()
-                await asyncio.sleep(0)
-
-    def _empty_backlog(self) -> None:
-        """Risk: what waits there was accepted by the machine, and may hold a whole request."""
-        with contextlib.suppress(OSError):
-            while True:
-                self.begin(self._sock.accept()[0])
+
+    def _empty_backlog(self) -> bool:
+        """Whether nobody is left there. Risk: what waits there was accepted by the machine, and may hold a
+        whole request."""
+        while len(self._clients) < self._clients_most or self._evict():
+            try:
+                sock, _ = self._sock.accept()
+            except BlockingIOError:
+                return True
+            except OSError as fault:
+                log.warning("accepting failed: %s", fault)
+                return False
+            self.begin(sock)
+        return False
 
     def begin(self, sock: socket.socket) -> _Client:
         """Serve an accepted connection."""
@@ -182,13 +215,18 @@
         return client
 
     def _evict(self) -> bool:
-        """Close the client that has been idle longest of those that are owed nothing."""
+        """Close the client that has been idle longest of those that are owed nothing. Where all of these have
+        begun a request, the oldest is refused instead and makes room once it has its answer. Risk: cut, a
+        client whose last byte is on its way would have a request lost. Harm: those who send slowly on purpose
+        hold their places for that moment longer."""
+        begun = None
         for client in chain(self._silent, self._resting):
-            if client.wire.quiet():
-                self._silent.pop(client, None)
-                self._resting.pop(client, None)
-                client.cancel()
+            if client.end():
                 return True
+            if begun is None and client.unfinished:
+                begun = client
+        if begun is not None:
+            begun.turn_away(503, "no room for a request that comes so slowly")
         return False
 
     def _relieve(self) -> None:
@@ -219,13 +257,17 @@
     def rests(self, client: _Client) -> None:
         self._resting[client] = None
         self._relieve()
-        self._changed.set()
+        self._changed_now()
 
     def ended(self, client: _Client) -> None:
         self._clients.discard(client)
         self._silent.pop(client, None)
         self._resting.pop(client, None)
+        self._changed_now()
+
+    def _changed_now(self) -> None:
         self._changed.set()
+        self._resume()
 
 
 class _Client:
@@ -260,20 +302,38 @@
     def rested(self, now: float) -> float:
         return now - self._answered
 
-    def end(self) -> None:
-        """Close if it is owed nothing and nothing of a request has come."""
-        if not self._turns and not self._begun and self.wire.quiet():
-            self.cancel()
+    @property
+    def unfinished(self) -> bool:
+        """Whether part of a request has come, and is owed an answer once no more of it is waited for."""
+        return self._begun and not self._turns and not self._deaf
+
+    def end(self) -> bool:
+        """Close if it is owed nothing and nothing of a request has come. Whether it is closed.
+
+        Look and close are one step. Risk: what came between them would be read, and dropped with the
+        connection. What comes at that very moment stays unread: the kernel resets the connection for it, by
+        which the client knows, and it asks once more elsewhere."""
+        owed = bool(self._turns) or (self._begun and not self._answered_last)
+        if owed or not self.wire.quiet():
+            return False
+        self.wire.close()
+        self.cancel()
+        self._listener.ended(self)
+        return True
 
     def expire(self, now: float) -> None:
         """Its time may be up: an answer if part of a request has come, the end if nothing has."""
         if now < self._until or self._turns or self._deaf:
             return
-        if not self._begun:
+        if self._begun:
+            self.turn_away(408, "the request did not come whole in time")
+        else:
             self.end()
-            return
+
+    def turn_away(self, status: int, text: str) -> None:
+        """Answer a request that has not come whole, as the last; what still comes of it is read past."""
         self._deaf = True
-        self._push_text(h11.Connection(h11.SERVER), 408, "the request did not come whole in time")
+        self._push_text(h11.Connection(h11.SERVER), status, text, last=True)
 
     async def _run(self) -> None:
         try:
@@ -446,11 +506,13 @@
         if self._writer is None:
             self._writer = asyncio.create_task(self._write_answers())
 
-    def _push_text(self, parser: h11.Connection, status: int, text: str) -> None:
+    def _push_text(
+        self, parser: h11.Connection, status: int, text: str, last: bool | None = None
+    ) -> None:
         answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         headers = [(b"Retry-After", COME_BACK_S)] if status in (429, 503) else []
         answer.set_result(Answer(status, headers, text.encode("latin-1", "replace") + b"\n"))
-        self._push(_Turn(parser, answer, last=status not in (200, 503)))
+        self._push(_Turn(parser, answer, last=status not in (200, 503) if last is None else last))
 
     async def _write_answers(self) -> None:
         try:
@@ -494,7 +556,14 @@
             turn.share.release()
         turn.share = self._listener.bodies.share()
         turn.share.add(len(answer.body))
-        close = turn.last or (self._listener.closing and len(self._turns) == 1)
+        # Going away, the last answer is one with nothing behind it. Risk: a request that has come and is not
+        # yet parsed would be read past after an answer that says it is the last.
+        close = turn.last or (
+            self._listener.closing
+            and len(self._turns) == 1
+            and not self._begun
+            and self.wire.quiet()
+        )
         headers = _headers(answer, close)
         await self.wire.send(_whole(turn.parser, answer, headers), STALL_S)
         return turn.parser.our_state is not h11.DONE
--- a/clayscale/net/upstream.py
+++ b/clayscale/net/upstream.py
@@ -12,6 +12,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 
 import h11
 
@@ -26,6 +27,7 @@
 INFORMATIONAL_MOST = 16  # 1xx answers ahead of the one that counts; more are a flood
 SETTLED_S = 0.02  # rested for so long and quiet, a connection has shown what followed its last answer
 MOMENT_S = 0.005  # what a reset needs to come back after all but the last byte: a trip, and a busy peer
+LAST_LOOKS = 64  # rounds, of a read or of PIECES_IN_A_ROW, through what has come when the time is up
 RETIRE_S = 0.5  # between looks through all that rest
 IDLE_SHARE = 0.8  # of the backend's idle limit: what has rested longer is not used again
 # The most that any rests. Risk: after a crowded moment all that it opened would stay, and a backend holds
@@ -69,7 +71,7 @@
             async with asyncio.timeout(max(0, timeout_us) / 1e6):
                 return await exchange.run()
         except TimeoutError:
-            return Ended(Outcome.TIMEOUT if exchange.sent else Outcome.UNREACHABLE)
+            return exchange.late or Ended(Outcome.TIMEOUT if exchange.sent else Outcome.UNREACHABLE)
         except NoDescriptor:
             return Ended(Outcome.UNSENT)
 
@@ -87,7 +89,7 @@
                 at = next((i for i in range(at, -1, -1) if now - resting[i][0] >= SETTLED_S), at)
             since, wire = resting[at]
             del resting[at]
-            self._unwatch(wire)
+            wire.wake()
             if not resting:
                 del self._idle[address]
             rested_s = now - since
@@ -124,8 +126,7 @@
             self.drop(wire)
             return
         self._idle.setdefault(address, deque()).append((time.monotonic(), wire))
-        # By number: given the socket, the loop would write out its name for each that is not registered yet.
-        asyncio.get_running_loop().add_reader(wire.sock.fileno(), self._ended_at_rest, address, wire)
+        wire.rest(partial(self._ended_at_rest, address, wire))
 
     def drop(self, wire: Wire) -> None:
         if not wire.closed:
@@ -143,9 +144,6 @@
         while self._drop_oldest_idle():
             pass
 
-    def _unwatch(self, wire: Wire) -> None:
-        asyncio.get_running_loop().remove_reader(wire.sock.fileno())
-
     def _ended_at_rest(self, address: Address, wire: Wire) -> None:
         # Risk: an answer that comes late, or an end that went unseen, would meet the next request.
         resting = self._idle[address]
@@ -190,6 +188,7 @@
         self._timeout_us = timeout_us
         self._fit = fit
         self.sent = False  # the last byte may have left: from here on the request may run
+        self.late: Ended | None = None  # what had come, unread, when the time was up
 
     async def run(self) -> Ended:
         idle = self._upstream.take_idle(self._address, settled=self._call.repeatable)
@@ -233,6 +232,11 @@
             # An end inside the answer is a broken connection. Noise and wrong lengths are an error: the
             # backend is there, and to be shut for it as if it were not would cost its good answers.
             return Ended(Outcome.RESET if reader.ended else Outcome.ERROR)
+        except asyncio.CancelledError:
+            # Risk: an answer that has come and waits for its turn would count as none, and the request as one
+            # that may have run.
+            self.late = reader.last_look()
+            raise
         except BaseException:
             reader.close()
             raise
@@ -301,63 +305,98 @@
         self._rested = rested
         self._begun = False  # part of the answer has come
         self.ended = False  # the backend has ended its sending
+        self._ahead = 0  # informational answers so far
+        self._response: h11.Response | None = None  # the head of a 200
+        self._length: int | None = None
+        self._body = bytearray()
+        self._pieces = 0  # of the body, since the loop was last let go on
 
     async def run(self) -> Ended:
-        response = await self._response()
-        if response.status_code != 200:
-            self._skip_body()
-            return Ended(_outcome(response))
-        if not self._exchange.sent:
-            raise Spoilt("an answer to a request that was not sent whole")
-        length = _length(response)
-        body = bytearray()
-        pieces = 0
-        while not isinstance(event := await self._next(), h11.EndOfMessage):
-            if not isinstance(event, h11.Data):
-                raise Spoilt("the answer broke off")
-            body += event.data
-            if len(body) > BODY_MOST:
-                raise Spoilt("the answer is longer than one may be")
-            pieces += 1
-            if pieces % PIECES_IN_A_ROW == 0:
+        """Read until the answer is whole. Raises Spoilt, _Stale, OSError and h11's errors."""
+        while (ended := self._parse()) is None:
+            paused, self._pieces = self._pieces >= PIECES_IN_A_ROW, 0
+            if paused:
                 await asyncio.sleep(0)
-        if length is not None and len(body) != length:
-            raise Spoilt("the answer is not as long as it says")
-        self._done()
-        return Ended(Outcome.OK, Answer(200, end_to_end(response.headers), body))
+                continue
+            try:
+                data = await self._wire.receive(STALL_S if self._begun else None)
+            except TimeoutError:
+                # Risk: an answer that says it is longer than it is would hold its request until the deadline.
+                raise Spoilt("the answer stood still") from None
+            self._heard(data)
+        return ended
 
     def close(self) -> None:
         if self._writer is not None:
             self._writer.cancel()
         self._exchange.drop(self._wire)
 
-    async def _response(self) -> h11.Response:
-        for _ in range(INFORMATIONAL_MOST):
-            event = await self._next()
-            if isinstance(event, h11.Response):
-                return event
-            if not isinstance(event, h11.InformationalResponse) or event.status_code == 101:
-                break
-            self._begun = bool(self._parser.trailing_data[0])  # the answer itself may take its time yet
-        raise Spoilt("no answer came")
-
-    async def _next(self) -> h11.Event | type[h11.PAUSED]:
+    def last_look(self) -> Ended | None:
+        """The answer, if all of it is here though not yet read. Either way this reader is done."""
+        try:
+            for _ in range(LAST_LOOKS):
+                ended = self._parse()
+                if ended is not None:
+                    return ended
+                paused, self._pieces = self._pieces >= PIECES_IN_A_ROW, 0
+                if not paused:
+                    data = self._wire.unread()
+                    if not data:
+                        break
+                    self._heard(data)
+        except (OSError, _Stale, Spoilt, h11.RemoteProtocolError):
+            pass
+        self.close()
+        return None
+
+    def _heard(self, data: bytes) -> None:
+        if data and self._rested and not self._exchange.sent:
+            # Risk: an answer to an earlier request, come late, would be taken for this one's.
+            raise _Stale
+        self._begun = True
+        self.ended = not data
+        self._parser.receive_data(data)
+
+    def _parse(self) -> Ended | None:
+        """What has come so far; None if it is not yet the whole answer. Stops early, with `_pieces` above
+        zero, in an answer of many small pieces."""
         while True:
             event = self._parser.next_event()
-            if not isinstance(event, type) or event is h11.PAUSED:
-                return event
-            try:
-                async with asyncio.timeout(STALL_S if self._begun else None):
-                    data = await self._wire.receive()
-            except TimeoutError:
-                # Risk: an answer that says it is longer than it is would hold its request until the deadline.
-                raise Spoilt("the answer stood still") from None
-            if data and self._rested and not self._exchange.sent:
-                # Risk: an answer to an earlier request, come late, would be taken for this one's.
-                raise _Stale
-            self._begun = True
-            self.ended = not data
-            self._parser.receive_data(data)
+            if event is h11.NEED_DATA:
+                return None
+            if self._response is None:
+                if isinstance(event, h11.Response):
+                    if event.status_code != 200:
+                        self._skip_body()
+                        return Ended(_outcome(event))
+                    if not self._exchange.sent:
+                        raise Spoilt("an answer to a request that was not sent whole")
+                    self._length = _length(event)
+                    self._response = event
+                else:
+                    self._informational(event)
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > BODY_MOST:
+                    raise Spoilt("the answer is longer than one may be")
+                self._pieces += 1
+                if self._pieces >= PIECES_IN_A_ROW:
+                    return None
+            elif isinstance(event, h11.EndOfMessage):
+                if self._length is not None and len(self._body) != self._length:
+                    raise Spoilt("the answer is not as long as it says")
+                self._done()
+                return Ended(Outcome.OK, Answer(200, end_to_end(self._response.headers), self._body))
+            else:
+                raise Spoilt("the answer broke off")
+
+    def _informational(self, event: object) -> None:
+        """An answer ahead of the one that counts."""
+        self._ahead += 1
+        known = isinstance(event, h11.InformationalResponse) and event.status_code != 101
+        if not known or self._ahead >= INFORMATIONAL_MOST:
+            raise Spoilt("no answer came")
+        self._begun = bool(self._parser.trailing_data[0])  # the answer itself may take its time yet
 
     def _skip_body(self) -> None:
         """The status has told all, and the module is told at once. What has come by now decides whether the
--- /dev/null
+++ b/tests/net/test_closing.py
@@ -0,0 +1,293 @@
+"""Nothing that was read from a socket is dropped by a close: each closer, at each turn of the loop between.
+
+A request is answered, or its bytes were never read and the kernel resets the connection, by which the client
+knows. An end without either is a lost request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+import time
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import pytest
+
+from aspentrail.interface import Outcome
+from clayscale import __main__ as program
+from clayscale.messages import Call
+from clayscale.net import listener
+from clayscale.net.budget import Descriptors
+from clayscale.net.http import Wire
+from clayscale.net.upstream import Upstream
+from tests.loopback import PATIENCE_S, Backend, World, answer, request, table, world
+
+TURNS = 31  # of the loop, from none to 30
+OK = answer(b"served")
+
+
+class NoRoom(Descriptors):
+    """Limits under which every client that may go has to."""
+
+    def __init__(self, sockets: int) -> None:
+        super().__init__(sockets)
+        self.clients = 0
+
+
+def stop(made: World, folder: Path) -> None:
+    made.listener._end_resting()
+
+
+def sweep(made: World, folder: Path) -> None:
+    for client in [*made.listener._clients]:
+        client._until = 0.0
+        client.expire(time.monotonic())
+
+
+def relieve(made: World, folder: Path) -> None:
+    made.listener._asking_most = 0
+    made.listener._relieve()
+
+
+def evict(made: World, folder: Path) -> None:
+    made.listener._evict()
+
+
+def resize(made: World, folder: Path) -> None:
+    made.listener.resize(NoRoom(256), 64 << 20)
+
+
+def reload(made: World, folder: Path) -> None:
+    path = folder / "config.json"
+    path.write_text(json.dumps(table("127.0.0.1:9", [])))
+    program.reload({"BALANCER_CONFIG": str(path)}, made.agent, made.listener)
+
+
+CLOSERS: dict[str, Callable[[World, Path], None]] = {
+    "stop": stop, "sweep": sweep, "relieve": relieve, "evict": evict, "resize": resize, "reload": reload,
+}  # fmt: skip
+
+
+class Peer:
+    """A client by its socket alone: what it sends is in the agent's kernel when `send` returns."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.sock = socket.create_connection(address)
+        self.sock.setblocking(False)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # a second piece goes out at once too
+        self._read = bytearray()
+
+    def send(self, data: bytes) -> None:
+        assert self.sock.send(data) == len(data)
+
+    async def answer(self) -> bytes:
+        """The next answer's status line; "reset" if the kernel says that bytes were never read."""
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(PATIENCE_S):
+            while b"\r\n\r\n" not in self._read:
+                if not await self._more(loop):
+                    return b"reset" if self.was_reset() else b"lost"
+            head, _, rest = bytes(self._read).partition(b"\r\n\r\n")
+            (length,) = (int(x[15:]) for x in head.lower().split(b"\r\n") if x.startswith(b"content-length"))
+            while len(rest) < length:
+                if not await self._more(loop):
+                    return b"lost"
+                rest = bytes(self._read).partition(b"\r\n\r\n")[2]
+            del self._read[: len(head) + 4 + length]
+            return head.split(b"\r\n")[0]
+
+    async def _more(self, loop: asyncio.AbstractEventLoop) -> bool:
+        try:
+            data = await loop.sock_recv(self.sock, 65_536)
+        except ConnectionError:
+            return False
+        self._read += data
+        return bool(data)
+
+    def was_reset(self) -> bool:
+        """After an end: the kernel's state is CLOSE (7) if a reset came, too, and CLOSE_WAIT (8) if not."""
+        return self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == 7
+
+    def close(self) -> None:
+        self.sock.close()
+
+
+async def turns(count: int) -> None:
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+def shapes(name: str) -> tuple[list[bytes], int]:
+    """Pieces of requests, with a few turns between them, and how many requests they are."""
+    first, second = request(f"{name}a", "pay", b"x"), request(f"{name}b")
+    match name.partition("-")[0]:
+        case "whole" | "new":
+            return [first], 1
+        case "pieces":
+            return [first[:40], first[40:]], 1
+        case "pipelined":
+            return [first + second], 2
+        case "behind":
+            return [first, second], 2
+    raise AssertionError(name)
+
+
+@contextlib.asynccontextmanager
+async def closable(backend: Backend) -> AsyncIterator[World]:
+    async with world(backend) as made:
+        yield made
+        made.listener._sweeping.cancel()
+
+
+@pytest.mark.parametrize("shape", ["whole", "new", "pieces", "pipelined", "behind"])
+@pytest.mark.parametrize("closer", CLOSERS)
+def test_no_close_drops_what_was_read(
+    closer: str, shape: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(listener, "IDLE_S", 1_000.0)  # none goes for having rested too long
+    monkeypatch.setattr(listener, "REST_S", 0.0)
+    monkeypatch.setattr(program, "Descriptors", NoRoom)
+
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with closable(backend) as made:
+            limits = made.listener._asking_most
+            for count in range(TURNS):
+                peer = Peer(made.listener.address)
+                if shape != "new":
+                    peer.send(request(f"first{count}"))
+                    assert await peer.answer() == b"HTTP/1.1 200 "
+                pieces, expected = shapes(f"{shape}-{count}")
+                for piece in pieces[:-1]:
+                    peer.send(piece)
+                    await turns(3)
+                peer.send(pieces[-1])
+                await turns(count)
+                CLOSERS[closer](made, tmp_path)
+                made.listener._asking_most = limits
+                made.listener.resize(Descriptors(256), 64 << 20)
+                got = [await peer.answer() for _ in range(expected)]
+                # Of one that has come in part so far, who must go may be told so.
+                turned_away = shape == "pieces" and got[0][:12] in (b"HTTP/1.1 408", b"HTTP/1.1 503")
+                whole = got in ([b"HTTP/1.1 200 "] * expected, [b"reset"] * expected)
+                assert whole or turned_away, (count, got)
+                peer.close()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("closer", CLOSERS)
+def test_a_close_between_the_pieces_of_a_request_is_answered(
+    closer: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Who must go then is told so: the last byte may be on its way."""
+    monkeypatch.setattr(listener, "IDLE_S", 1_000.0)
+    monkeypatch.setattr(listener, "REST_S", 0.0)
+    monkeypatch.setattr(program, "Descriptors", NoRoom)
+
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with closable(backend) as made:
+            limits = made.listener._asking_most
+            for count in range(TURNS):
+                peer = Peer(made.listener.address)
+                peer.send(request(f"first{count}"))
+                assert await peer.answer() == b"HTTP/1.1 200 "
+                seen = len(backend.seen)
+                data = request(f"r{count}", "pay", b"x")
+                peer.send(data[:40])
+                await turns(count)
+                CLOSERS[closer](made, tmp_path)
+                with contextlib.suppress(ConnectionError):
+                    peer.send(data[40:])
+                got = await peer.answer()
+                assert got[:12] in (b"HTTP/1.1 200", b"HTTP/1.1 408", b"HTTP/1.1 503", b"reset"), (count, got)
+                assert len(backend.seen) - seen == got.startswith(b"HTTP/1.1 200")
+                made.listener._asking_most = limits
+                made.listener.resize(Descriptors(256), 64 << 20)
+                peer.close()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("shape", ["whole", "new", "pieces", "pipelined", "behind"])
+def test_a_stop_answers_all_that_it_has_read(shape: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The whole of a stop, with no time in which clients are awaited."""
+    monkeypatch.setattr(listener, "GOING_AWAY_S", 0.0)
+
+    async def play() -> None:
+        for count in range(TURNS):
+            backend = await Backend(OK).start()
+            async with closable(backend) as made:
+                peer = Peer(made.listener.address)
+                if shape != "new":
+                    peer.send(request("first"))
+                    assert await peer.answer() == b"HTTP/1.1 200 "
+                pieces, expected = shapes(f"{shape}-{count}")
+                for piece in pieces[:-1]:
+                    peer.send(piece)
+                    await turns(3)
+                peer.send(pieces[-1])
+                await turns(count)
+                closing = asyncio.create_task(made.listener.close())
+                got = [await peer.answer() for _ in range(expected)]
+                assert got in ([b"HTTP/1.1 200 "] * expected, [b"reset"] * expected), (count, got)
+                peer.close()
+                await asyncio.wait_for(closing, PATIENCE_S)
+                assert made.agent.owed == 0 and made.listener.connections == 0
+
+    asyncio.run(play())
+
+
+def test_what_a_cancelled_read_has_taken_is_had_by_the_next() -> None:
+    async def play() -> None:
+        for count in range(6):
+            ours, theirs = socket.socketpair()
+            ours.setblocking(False)
+            with theirs:
+                wire = Wire(ours)
+                reading = asyncio.create_task(wire.receive())
+                await turns(2)
+                theirs.send(b"bytes")
+                await turns(count)
+                done = reading.done()
+                reading.cancel()
+                await asyncio.wait([reading])
+                if done:
+                    assert reading.result() == b"bytes"
+                else:
+                    assert not wire.quiet()
+                    assert await asyncio.wait_for(wire.receive(), PATIENCE_S) == b"bytes"
+                assert wire.quiet()
+                wire.close()
+
+    asyncio.run(play())
+
+
+def test_an_answer_that_came_as_the_time_was_up_counts() -> None:
+    """It was in the kernel before the time was up, and the loop, held up, learns of both in one turn."""
+
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            server.setblocking(False)
+            upstream = Upstream(8, 30_000_000, 250_000)
+            call = Call(b"a", "pay", 1_000_000, b"POST", b"/pay", [(b"Host", b"a")], body=bytearray(b"x"))
+            attempt = asyncio.create_task(upstream.attempt(call, server.getsockname(), 300_000, lambda: True))
+            sock, _ = await loop.sock_accept(server)
+            seen = b""
+            while not seen.endswith(b"\r\n\r\nx"):
+                seen += await loop.sock_recv(sock, 65_536)
+            await turns(5)
+            sock.send(OK)
+            time.sleep(0.4)  # the loop is held up, as on a busy core
+            ended = await asyncio.wait_for(attempt, PATIENCE_S)
+            assert ended.outcome is Outcome.OK and ended.answer is not None and ended.answer.body == b"served"
+            assert upstream.open == 1
+            upstream.close()
+            sock.close()
+
+    asyncio.run(play())
