--- a/clayscale/net/listener.py
+++ b/clayscale/net/listener.py
@@ -7,6 +7,7 @@
 import logging
 import re
 import socket
+import struct
 import time
 from collections import OrderedDict, deque
 from collections.abc import Mapping
@@ -26,6 +27,8 @@
 
 READY = b"/health/ready"
 ACCEPTS_IN_A_ROW = 16  # connections accepted before the loop is let go on
+TCPI_UNACKED = 24  # its place in the kernel's struct tcp_info, in bytes
+AWAITED_S = 0.005  # between looks at whether the backlog is empty, while going away
 ACCEPT_AGAIN_S = 0.01  # after a failed accept: descriptors come back as attempts end
 BACKLOG = 4096  # a crowd waits here and not in lost SYNs, which come again only after a second
 PIPELINE_MOST = 16  # requests open on one connection; whoever sends more at once is turned away
@@ -97,6 +100,7 @@
         # Accepted sockets inherit it.
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER)
         self._accepting = False
+        self._accepted = 0  # connections so far
         self._resume()
         self._sweeping = asyncio.create_task(self._sweep())
 
@@ -124,13 +128,18 @@
 
         Connections that rest are kept for GOING_AWAY_S, and the next answer on each says that it is the last.
         Risk: cut at once, all their clients connect anew together, to an agent that is going away. Then no
-        more are accepted than wait already, and what rests with nothing unread is closed.
+        more are let in than wait already, and what rests with nothing unread is closed.
         """
         until = time.monotonic() + self.agent.longest_deadline_us / 1e6 + GOING_AWAY_MORE_S
         self.closing = True
         await asyncio.sleep(GOING_AWAY_S)
-        while not self._empty_backlog() and time.monotonic() < until:
-            await self._change(until)
+        # Risk: clients that connect anew after each answer keep the backlog from ever being empty, and what
+        # is taken from it late ends after this agent does. Who waits there now is served as room comes.
+        self._sock.listen(0)
+        last = self._accepted + self._backlog()
+        while self._accepted < last and self._backlog() and time.monotonic() < until:
+            await asyncio.sleep(AWAITED_S)
+        self._accept()  # who has come since
         self._pause()
         self._sock.close()
         while self._clients and time.monotonic() < until:
@@ -189,21 +198,15 @@
                 self._pause()
                 asyncio.get_running_loop().call_later(ACCEPT_AGAIN_S, self._resume)
                 return
+            self._accepted += 1
             self.begin(sock)
 
-    def _empty_backlog(self) -> bool:
-        """Whether nobody is left there. Risk: what waits there was accepted by the machine, and may hold a
-        whole request."""
-        while len(self._clients) < self._clients_most or self._evict():
-            try:
-                sock, _ = self._sock.accept()
-            except BlockingIOError:
-                return True
-            except OSError as fault:
-                log.warning("accepting failed: %s", fault)
-                return False
-            self.begin(sock)
-        return False
+    def _backlog(self) -> int:
+        """How many connections the machine has accepted that wait for us: `tcpi_unacked` of a listening
+        socket on Linux. Risk: each of them may hold a whole request."""
+        info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCPI_UNACKED + 4)
+        (waiting,) = struct.unpack_from("=I", info, TCPI_UNACKED)
+        return int(waiting)
 
     def begin(self, sock: socket.socket) -> _Client:
         """Serve an accepted connection."""
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -87,8 +87,12 @@
 
 
 @contextlib.asynccontextmanager
-async def program(folder: Path, backend: Backend, registry: Registry) -> AsyncIterator[Program]:
-    made = Program(folder, table(registry.address, [member("b0", backend.address)]))
+async def program(
+    folder: Path, backend: Backend, registry: Registry, sockets: int = 256
+) -> AsyncIterator[Program]:
+    config = table(registry.address, [member("b0", backend.address)])
+    config["limits"]["sockets"] = sockets
+    made = Program(folder, config)
     await made.start()
     try:
         yield made
