--- a/clayscale/__main__.py
+++ b/clayscale/__main__.py
@@ -14,6 +14,7 @@
 from clayscale.agent import Agent
 from clayscale.config import BadConfig, Config, load
 from clayscale.net.budget import BodyBudget, Descriptors
+from clayscale.net.discovery import watch
 from clayscale.net.listener import Listener
 from clayscale.net.upstream import Upstream
 
@@ -58,7 +59,7 @@
     """Run until SIGTERM, then finish what is owed."""
     descriptors = Descriptors(config.sockets)
     upstream = Upstream(descriptors.backends, config.idle_us, config.settings.connect_timeout_us)
-    agent = Agent(config, upstream)
+    agent = Agent(config, upstream, watch)
     going_away = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, going_away.set)
--- a/clayscale/agent.py
+++ b/clayscale/agent.py
@@ -6,15 +6,13 @@
 import logging
 import time
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 from aspentrail import interface as api
 from aspentrail.rules import Balancer
 from clayscale.config import Config
-from clayscale.messages import Answer, Call, Ended
-from clayscale.net.budget import Descriptors
-from clayscale.net.discovery import Directory, Discovery, Update
-from clayscale.net.upstream import Upstream
+from clayscale.membership import Directory
+from clayscale.messages import Address, Call, Ended, Failed, Final, Refused, Update
 
 log = logging.getLogger(__name__)
 
@@ -38,12 +36,39 @@
         return self._anchor_us + time.monotonic_ns() // 1000
 
 
+class Upstream(Protocol):
+    """What carries attempts out."""
+
+    async def attempt(
+        self, call: Call, address: Address, timeout_us: int, fit: Callable[[], bool]
+    ) -> Ended: ...
+
+    def forget(self, address: Address) -> None: ...
+
+    def reload(self, config: Config) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Source(Protocol):
+    """What tells of the list of backends."""
+
+    def subscribe(self) -> None: ...
+
+    def reload(self, config: Config) -> None: ...
+
+    def close(self) -> None: ...
+
+
+MakeSource = Callable[[Config, Callable[[Update], None], Callable[[], None]], Source]
+
+
 class Held:
     """A request that is owed its final answer."""
 
     __slots__ = ("answer", "attempts", "call", "id", "overdue")
 
-    def __init__(self, number: int, call: Call, answer: asyncio.Future[Answer]) -> None:
+    def __init__(self, number: int, call: Call, answer: asyncio.Future[Final]) -> None:
         self.id = number
         self.call = call
         self.answer = answer
@@ -54,7 +79,8 @@
 class Agent:
     """One Balancer on real time, real backends and a real list."""
 
-    def __init__(self, config: Config, upstream: Upstream) -> None:
+    def __init__(self, config: Config, upstream: Upstream, source: MakeSource) -> None:
+        """`source` is told where to hand updates, and where to tell that it failed."""
         self._config = config
         self._upstream = upstream
         self.now = Clock()
@@ -62,9 +88,7 @@
         self.balancer = Balancer(config.settings, config.seed, self.now())
         self._classes = {cls.name: cls for cls in config.settings.classes}
         self._directory = Directory()
-        self._discovery = Discovery(
-            config.discovery, config.known.revision, self._on_update, self._on_failure
-        )
+        self._source = source(config, self._on_update, self._on_failure)
         self._held: dict[int, Held] = {}
         self._open_ids: set[bytes] = set()  # of the held requests, as their clients named them
         self._running: dict[tuple[int, int], asyncio.Task[Ended]] = {}
@@ -83,13 +107,11 @@
         self._config = config
         self._classes = {cls.name: cls for cls in config.settings.classes}
         self._tell(self.balancer.on_settings, config.settings)
-        self._upstream.resize(
-            Descriptors(config.sockets).backends, config.idle_us, config.settings.connect_timeout_us
-        )
-        self._discovery.move(config.discovery)
+        self._upstream.reload(config)
+        self._source.reload(config)
 
     def close(self) -> None:
-        self._discovery.close()
+        self._source.close()
         for task in self._running.values():
             task.cancel()
         self._upstream.close()
@@ -123,7 +145,7 @@
         self._count += 1
         held = Held(self._count, call, self._loop.create_future())
         if len(self._held) >= self._config.most_held:
-            held.answer.set_result(refusal(FULL_RETRY_AFTER_US))
+            held.answer.set_result(Refused(FULL_RETRY_AFTER_US))
             return held
         self._held[held.id] = held
         self._open_ids.add(call.client_id)
@@ -149,7 +171,7 @@
     def _overdue(self, held: Held) -> None:
         # Risk: whatever goes wrong with a decision, a request that was taken would be lost.
         log.error("request %d was overdue", held.id)
-        self._finish(held, failure())
+        self._finish(held, Failed())
         self._tell(self.balancer.on_client_gone, api.ClientGone(held.id))
 
     def _on_update(self, update: Update) -> None:
@@ -169,7 +191,7 @@
             self._run(handler(event, self.now()))
         except Exception:
             log.exception("deciding on %s failed", type(event).__name__)
-            if held is not None and self._finish(held, failure()):
+            if held is not None and self._finish(held, Failed()):
                 self._tell(self.balancer.on_client_gone, api.ClientGone(held.id))
 
     # Actions
@@ -180,9 +202,9 @@
                 case api.Send():
                     self._send(action)
                 case api.Refuse(request_id, retry_after_us):
-                    self._answer(request_id, refusal(retry_after_us))
+                    self._answer(request_id, Refused(retry_after_us))
                 case api.Fail(request_id):
-                    self._answer(request_id, failure())
+                    self._answer(request_id, Failed())
                 case api.CancelAttempt(request_id, attempt):
                     task = self._running.get((request_id, attempt))
                     if task is not None:
@@ -190,9 +212,9 @@
                 case api.SetTimer(delay_us, tag):
                     self._loop.call_later(delay_us / 1e6, self._tell, self.balancer.on_timer, api.Timer(tag))
                 case api.Subscribe():
-                    self._discovery.subscribe()
+                    self._source.subscribe()
 
-    def _answer(self, request_id: int, answer: Answer) -> None:
+    def _answer(self, request_id: int, answer: Final) -> None:
         held = self._held.get(request_id)
         if held is not None:
             self._finish(held, answer)
@@ -206,7 +228,7 @@
             held.overdue.cancel()
         return True
 
-    def _finish(self, held: Held, answer: Answer) -> bool:
+    def _finish(self, held: Held, answer: Final) -> bool:
         if not self._end(held):
             return False
         if not held.answer.done():
@@ -254,13 +276,3 @@
         finished = held.id not in self._held
         event = api.AttemptEnded(*key, ended.outcome, elapsed_us, finished)
         self._tell(self.balancer.on_attempt_ended, event, held)
-
-
-def refusal(retry_after_us: int) -> Answer:
-    """Trying again does no harm, and is told when it may help."""
-    return Answer(503, [(b"Retry-After", b"%.3f" % (retry_after_us / 1e6))], b"refused\n")
-
-
-def failure() -> Answer:
-    """Nothing is promised: it may have run."""
-    return Answer(500, [], b"failed\n")
--- a/clayscale/config.py
+++ b/clayscale/config.py
@@ -11,8 +11,8 @@
 
 from aspentrail.adapter import parse_settings
 from aspentrail.interface import Settings
-from clayscale.messages import Address
-from clayscale.net.discovery import Malformed, Update, parse_address, parse_update
+from clayscale.membership import Malformed, parse_address, parse_update
+from clayscale.messages import Address, Update
 
 CONFIG = "BALANCER_CONFIG"
 LEAST_MEMORY_MB = 1
--- a/clayscale/messages.py
+++ b/clayscale/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from aspentrail import interface as api
 
@@ -28,9 +29,19 @@
     body: bytearray = field(default_factory=bytearray)
 
 
+class Refused(NamedTuple):
+    """A final answer: nothing has run that a repeat could double. Trying again may help after this time."""
+
+    retry_after_us: int
+
+
+class Failed(NamedTuple):
+    """A final answer that promises nothing: it may have run."""
+
+
 @dataclass(slots=True)
 class Answer:
-    """A final answer to a client."""
+    """A final answer of a backend's, or of a front's own, in the words of its protocol."""
 
     status: int
     headers: Headers = field(default_factory=list)
@@ -43,3 +54,15 @@
 
     outcome: api.Outcome
     answer: Answer | None = None
+
+
+Final = Answer | Refused | Failed
+
+
+class Update(NamedTuple):
+    """What a membership source has heard: the whole list or what changed in it."""
+
+    revision: int
+    complete: bool
+    backends: tuple[api.Backend, ...]
+    addresses: dict[str, Address]
--- a/clayscale/net/discovery.py
+++ b/clayscale/net/discovery.py
@@ -1,20 +1,18 @@
-"""Discovery: the watch on the list of backends, and where each backend is reached."""
+"""Discovery: the watch on the list of backends."""
 
 from __future__ import annotations
 
 import asyncio
 import json
 import logging
-import re
 import socket
 from collections.abc import Callable
-from ipaddress import AddressValueError, IPv4Address
-from typing import Any, NamedTuple
 
 import h11
 
-from aspentrail import interface as api
-from clayscale.messages import Address
+from clayscale.config import Config
+from clayscale.membership import Malformed, parse_update
+from clayscale.messages import Address, Update
 from clayscale.net.http import Wire, frame
 
 log = logging.getLogger(__name__)
@@ -23,100 +21,6 @@
 HEARTBEAT_S = 2.0  # while nothing changes an empty line comes this often
 SILENCE_S = HEARTBEAT_S + 1.0  # longer is a break; what it would have told counts as told after 6 s of it
 LINE_MOST = 2 * 1024 * 1024  # some ten thousand entries; a line without end is a break
-PORT = re.compile(r"[0-9]{1,5}")
-
-STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
-
-
-class Malformed(Exception):
-    """A list that does not say what it must."""
-
-
-class Update(NamedTuple):
-    """One line of discovery's: the whole list or what changed in it."""
-
-    revision: int
-    complete: bool
-    backends: tuple[api.Backend, ...]
-    addresses: dict[str, Address]
-
-
-def parse_address(text: Any) -> Address:
-    """An IPv4 address and a port. Risk: a name would be looked up, and there is no DNS."""
-    host, _, port = str(text).rpartition(":")
-    try:
-        if PORT.fullmatch(port) and 0 < int(port) < 65_536:
-            return str(IPv4Address(host)), int(port)
-    except AddressValueError:
-        pass
-    raise Malformed(f"not an address: {str(text)[:80]!r}")
-
-
-def parse_update(value: Any) -> Update:
-    """A list in discovery's form; fields that it does not know are passed over."""
-    try:
-        backends, addresses = [], {}
-        for member in value["members"]:
-            backend = _backend(member)
-            backends.append(backend)
-            if backend.state is not api.State.GONE:
-                addresses[backend.id] = parse_address(member["host_port"])
-        return Update(int(value["revision"]), bool(value["complete"]), tuple(backends), addresses)
-    except KeyError as missing:
-        raise Malformed(f"{missing.args[0]} is missing") from None
-    except (TypeError, ValueError, AttributeError, OverflowError) as fault:
-        raise Malformed(str(fault)) from None
-
-
-def _backend(member: dict[str, Any]) -> api.Backend:
-    state = STATES.get(member["phase"])
-    if state is None:
-        raise Malformed(f"phase is unknown: {member['phase']!r}")
-    return api.Backend(
-        id=str(member["id"]),
-        zone=str(member.get("locality", "")),
-        kind=str(member.get("flavor", "")),
-        cell=int(member.get("cell", 0)),
-        state=state,
-        weight=float(member.get("size", 1.0)),
-        started_us=int(member.get("up_since_ms", 0)) * 1000,
-    )
-
-
-class Directory:
-    """Where the listed backends are reached, and which of them want nothing new."""
-
-    def __init__(self) -> None:
-        self._addresses: dict[str, Address] = {}
-        self._ready: dict[str, int] = {}  # and when each started
-
-    def apply(self, update: Update) -> set[Address]:
-        """Take on what discovery says. Returns the addresses of processes that want nothing new: they drain,
-        are gone, or have been started anew."""
-        addresses, ready = self._addresses, self._ready
-        if update.complete:
-            self._addresses, self._ready = {}, {}
-        else:
-            self._addresses, self._ready = dict(addresses), dict(ready)
-        self._addresses.update(update.addresses)
-        for backend in update.backends:
-            if backend.state is api.State.READY:
-                self._ready[backend.id] = backend.started_us
-            else:
-                self._ready.pop(backend.id, None)
-            if backend.state is api.State.GONE:
-                self._addresses.pop(backend.id, None)
-        return {
-            addresses[name]
-            for name, started_us in ready.items()
-            if self._ready.get(name) != started_us or self._addresses.get(name) != addresses[name]
-        }
-
-    def address(self, backend: str) -> Address | None:
-        return self._addresses.get(backend)
-
-    def is_ready(self, backend: str) -> bool:
-        return backend in self._ready
 
 
 class Discovery:
@@ -152,6 +56,9 @@
         self._drop_earlier()
         self._earlier, self._watch = self._watch, asyncio.create_task(self._run())
 
+    def reload(self, config: Config) -> None:
+        self.move(config.discovery)
+
     def close(self) -> None:
         self._drop_earlier()
         if self._watch is not None:
@@ -231,3 +138,8 @@
         if not self._missed:
             self._after = update.revision
         self._on_update(update)
+
+
+def watch(config: Config, on_update: Callable[[Update], None], on_failure: Callable[[], None]) -> Discovery:
+    """The registry's watch as the configuration tells of it."""
+    return Discovery(config.discovery, config.known.revision, on_update, on_failure)
--- a/clayscale/net/listener.py
+++ b/clayscale/net/listener.py
@@ -19,7 +19,7 @@
 
 from aspentrail.interface import Effect, RequestClass
 from clayscale.agent import Agent, Held
-from clayscale.messages import Address, Answer, Call, Headers
+from clayscale.messages import Address, Answer, Call, Final, Headers, Refused
 from clayscale.net.budget import BODY_MOST, BodyBudget, BodyShare, Descriptors
 from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, PIECES_IN_A_ROW, Wire, end_to_end, frame
 
@@ -72,7 +72,7 @@
     """A request's place in the order of answers."""
 
     parser: h11.Connection
-    answer: asyncio.Future[Answer]
+    answer: asyncio.Future[Final]
     share: BodyShare | None = None
     held: Held | None = None
     last: bool = False  # nothing after it will be read
@@ -512,7 +512,7 @@
     def _push_text(
         self, parser: h11.Connection, status: int, text: str, last: bool | None = None
     ) -> None:
-        answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        answer: asyncio.Future[Final] = asyncio.get_running_loop().create_future()
         headers = [(b"Retry-After", COME_BACK_S)] if status in (429, 503) else []
         answer.set_result(Answer(status, headers, text.encode("latin-1", "replace") + b"\n"))
         self._push(_Turn(parser, answer, last=status not in (200, 503) if last is None else last))
@@ -554,7 +554,7 @@
 
     async def _write_answer(self, turn: _Turn) -> bool:
         """Write the next answer; whether the connection ends with it."""
-        answer = await turn.answer
+        answer = _worded(await turn.answer)
         if turn.share is not None:
             turn.share.release()
         turn.share = self._listener.bodies.share()
@@ -572,6 +572,15 @@
         return turn.parser.our_state is not h11.DONE
 
 
+def _worded(final: Final) -> Answer:
+    """A final answer in HTTP's words."""
+    if isinstance(final, Answer):
+        return final
+    if isinstance(final, Refused):
+        return Answer(503, [(b"Retry-After", b"%.3f" % (final.retry_after_us / 1e6))], b"refused\n")
+    return Answer(500, [], b"failed\n")
+
+
 def _whole(parser: h11.Connection, answer: Answer, headers: Headers) -> bytes:
     response = h11.Response(status_code=answer.status, headers=headers)
     return frame(parser, response, h11.Data(data=bytes(answer.body)), h11.EndOfMessage())
--- a/clayscale/net/upstream.py
+++ b/clayscale/net/upstream.py
@@ -17,8 +17,9 @@
 import h11
 
 from aspentrail.interface import Outcome
+from clayscale.config import Config
 from clayscale.messages import Address, Answer, Call, Ended
-from clayscale.net.budget import BODY_MOST
+from clayscale.net.budget import BODY_MOST, Descriptors
 from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, PIECES_IN_A_ROW, SEND_BYTES, Wire, end_to_end
 
 log = logging.getLogger(__name__)
@@ -63,6 +64,9 @@
         self._idle_s = min(IDLE_MOST_S, idle_us * IDLE_SHARE / 1e6)
         self._connect_timeout_s = connect_timeout_us / 1e6 or None
 
+    def reload(self, config: Config) -> None:
+        self.resize(Descriptors(config.sockets).backends, config.idle_us, config.settings.connect_timeout_us)
+
     async def attempt(self, call: Call, address: Address, timeout_us: int, fit: Callable[[], bool]) -> Ended:
         """Send the request to this backend, once, and tell what came of it. `fit` tells whether something
         new may still go there."""
