Supervision without I/O: which instance to start, wait for, replace or give up

Events and a clock in, actions out: seeded back-off that doubles, crash loops, hangs, restarts, drains, other sets of instances, and a stop that a second one does not change. A listener may take over a socket whose queue other processes share. Tests by case and by a model of processes; no process is run yet.

--- a/clayscale/agent.py
+++ b/clayscale/agent.py
@@ -93,6 +93,7 @@
         self._open_ids: set[bytes] = set()  # of the held requests, as their clients named them
         self._running: dict[tuple[int, int], asyncio.Task[Ended]] = {}
         self._count = 0
+        self.served = self.refused = self.failed = 0
 
     def start(self) -> None:
         self._run(self.balancer.start())
@@ -121,6 +122,11 @@
         """How many requests still wait for their final answer."""
         return len(self._held)
 
+    @property
+    def offered(self) -> int:
+        """How many requests have been taken."""
+        return self._count
+
     @property
     def attempts(self) -> int:
         """How many attempts are under way, called-off ones too until they have ended."""
@@ -145,6 +151,7 @@
         self._count += 1
         held = Held(self._count, call, self._loop.create_future())
         if len(self._held) >= self._config.most_held:
+            self.refused += 1
             held.answer.set_result(Refused(FULL_RETRY_AFTER_US))
             return held
         self._held[held.id] = held
@@ -231,10 +238,22 @@
     def _finish(self, held: Held, answer: Final) -> bool:
         if not self._end(held):
             return False
+        if isinstance(answer, Refused):
+            self.refused += 1
+        elif isinstance(answer, Failed):
+            self.failed += 1
+        else:
+            self.served += 1
         if not held.answer.done():
             held.answer.set_result(answer)
         return True
 
+    def fail_all(self) -> None:
+        """Answer every request that is still owed its answer as failed: there is no time left for more."""
+        for held in [*self._held.values()]:
+            self._finish(held, Failed())
+            self._tell(self.balancer.on_client_gone, api.ClientGone(held.id))
+
     def _send(self, action: api.Send) -> None:
         held = self._held.get(action.request_id)
         if held is None:
--- a/clayscale/net/listener.py
+++ b/clayscale/net/listener.py
@@ -82,8 +82,14 @@
     """All clients of this agent."""
 
     def __init__(
-        self, agent: Agent, address: Address, descriptors: Descriptors, bodies: BodyBudget
+        self,
+        agent: Agent,
+        address: Address | socket.socket,
+        descriptors: Descriptors,
+        bodies: BodyBudget,
     ) -> None:
+        """Listens at the address, or on a socket that is listened on already, which it owns from here on; its
+        queue may be shared with other processes. Raises OSError."""
         self.agent = agent
         self.bodies = bodies
         self.closing = False
@@ -95,7 +101,10 @@
         self._silent: OrderedDict[_Client, None] = OrderedDict()
         self._resting: OrderedDict[_Client, None] = OrderedDict()
         self._changed = asyncio.Event()
-        self._sock = socket.create_server(address, backlog=BACKLOG)
+        if isinstance(address, socket.socket):
+            self._sock = address
+        else:
+            self._sock = socket.create_server(address, backlog=BACKLOG)
         self._sock.setblocking(False)
         # Accepted sockets inherit it.
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER)
@@ -123,8 +132,9 @@
                 break
         self._changed_now()
 
-    async def close(self) -> None:
-        """Going away: finish what is owed, and take on what still comes while it comes.
+    async def close(self, others: bool = False) -> None:
+        """Going away: finish what is owed, and take on what still comes while it comes. `others`: processes
+        that go on share the queue, so nothing further is taken on here.
 
         Connections that rest are kept for GOING_AWAY_S, and the next answer on each says that it is the last.
         Risk: cut at once, all their clients connect anew together, to an agent that is going away. Then no
@@ -132,7 +142,19 @@
         """
         until = time.monotonic() + self.agent.longest_deadline_us / 1e6 + GOING_AWAY_MORE_S
         self.closing = True
+        if others:
+            self._pause()
+            self._sock.close()
         await asyncio.sleep(GOING_AWAY_S)
+        if not others:
+            await self._end_accepting(until)
+        while self._clients and time.monotonic() < until:
+            self._end_resting()
+            if self._clients:
+                await self._change(until)
+        self._sweeping.cancel()
+
+    async def _end_accepting(self, until: float) -> None:
         # Risk: clients that connect anew after each answer keep the backlog from ever being empty, and what
         # is taken from it late ends after this agent does. Who waits there now is served as room comes.
         self._sock.listen(0)
@@ -142,11 +164,6 @@
         self._accept()  # who has come since
         self._pause()
         self._sock.close()
-        while self._clients and time.monotonic() < until:
-            self._end_resting()
-            if self._clients:
-                await self._change(until)
-        self._sweeping.cancel()
 
     async def _change(self, until: float) -> None:
         """Wait for a client to rest or end, for SWEEP_S at most: what has just come is looked at again."""
--- /dev/null
+++ b/tests/decisions/test_supervision.py
@@ -0,0 +1,194 @@
+"""The daemon's decisions: each rule has its case, and a model drives them through random lives."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from aspentrail.supervision import Action, Kill, Phase, Policy, Report, Start, Stop, Supervisor
+
+POLICY = Policy()
+S = 1_000_000
+
+
+def supervisor(count: int = 3, seed: int = 7) -> Supervisor:
+    return Supervisor([f"i{number}" for number in range(count)], POLICY, seed, 0)
+
+
+def phase(made: Supervisor, name: str) -> Phase:
+    return next(item.phase for item in made.standings() if item.name == name)
+
+
+def test_all_start_at_once_and_a_ready_one_waits_for_beats() -> None:
+    made = supervisor()
+    assert made.start(0) == [Start("i0", 1), Start("i1", 1), Start("i2", 1)]
+    assert made.on_ready("i0", 1, S) == []
+    assert made.ready == ["i0"]
+    assert made.on_time(S) == []
+    made.on_beat("i0", 1, 5 * S)
+    assert not any(isinstance(action, Kill) and action.name == "i0" for action in made.on_time(9 * S))
+    assert Kill("i0", 1, "it gave no sign of life in time") in made.on_time(10 * S)
+
+
+def test_one_that_does_not_become_ready_is_killed_and_started_only_after_its_end() -> None:
+    made = supervisor(1)
+    made.start(0)
+    kills = made.on_time(POLICY.start_within_us)
+    assert kills[0] == Kill("i0", 1, "it did not become ready in time")
+    assert not any(isinstance(action, Start) for action in made.on_time(15 * S))
+    made.on_end("i0", 1, 16 * S)
+    assert made.on_time(17 * S) == [Start("i0", 2)]
+
+
+def test_the_wait_doubles_and_a_settled_run_starts_over() -> None:
+    made, now, waits = supervisor(1), 0, []
+    made.start(now)
+    for run in range(1, 4):
+        made.on_ready("i0", run, now)
+        made.on_end("i0", run, now)
+        at = made.next_us()
+        assert at is not None
+        waits.append(at - now)
+        now = at
+        made.on_time(now)
+    for index, wait in enumerate(waits):
+        full = POLICY.first_wait_us * 2**index
+        assert full // 2 <= wait <= full
+    made.on_ready("i0", 4, now)
+    now += POLICY.settled_us
+    made.on_end("i0", 4, now)
+    at = made.next_us()
+    assert at is not None and at - now <= POLICY.first_wait_us
+
+
+def test_a_crash_loop_is_reported_once_and_leaves_the_others_alone() -> None:
+    made, now, reports = supervisor(2), 0, 0
+    made.start(0)
+    made.on_ready("i1", 1, 0)
+    for run in range(1, 12):
+        reports += sum(isinstance(action, Report) for action in made.on_end("i0", run, now))
+        while phase(made, "i0") is Phase.BACKOFF:
+            now += 100_000
+            made.on_beat("i1", 1, now)
+            made.on_time(now)
+    assert reports == 1
+    assert [item.looping for item in made.standings()] == [True, False]
+    assert phase(made, "i1") is Phase.READY
+    run = made.standings()[0].run
+    made.on_ready("i0", run, now)
+    settled: list[Action] = []
+    for _ in range(12):
+        now += S
+        settled += made.on_beat("i0", run, now)
+    assert settled == [Report("i0", "has settled after its crash loop")]
+
+
+def test_the_late_word_of_an_earlier_run_is_passed_over() -> None:
+    made = supervisor(1)
+    made.start(0)
+    made.on_end("i0", 1, 0)
+    made.on_time(S)
+    assert made.on_ready("i0", 1, S) == [] and made.on_end("i0", 1, S) == []
+    assert phase(made, "i0") is Phase.STARTING
+
+
+def test_a_second_stop_changes_nothing_and_what_ends_is_not_started_again() -> None:
+    made = supervisor(2)
+    made.start(0)
+    made.on_ready("i0", 1, 0)
+    made.on_ready("i1", 1, 0)
+    assert made.on_stop(S, 5 * S) == [Stop("i0", 1), Stop("i1", 1)]
+    assert made.on_stop(2 * S, 5 * S) == []
+    made.on_end("i0", 1, 2 * S)
+    assert not made.ended
+    assert Kill("i1", 1, "it did not end in time") in made.on_time(6 * S)
+    made.on_end("i1", 1, 6 * S)
+    assert made.ended and made.next_us() is None
+
+
+def test_a_drained_one_stays_out_and_a_restarted_one_comes_back() -> None:
+    made = supervisor(2)
+    made.start(0)
+    made.on_ready("i0", 1, 0)
+    made.on_ready("i1", 1, 0)
+    assert made.on_drain("i0", S, 5 * S) == [Stop("i0", 1)]
+    assert made.on_end("i0", 1, 2 * S) == []
+    assert made.on_restart("i1", 2 * S) == [Stop("i1", 1)]
+    assert made.on_end("i1", 1, 2 * S) == [Start("i1", 2)]
+    assert made.on_time(4 * S) == [] and phase(made, "i0") is Phase.STOPPED
+
+
+def test_another_set_of_names_starts_the_new_and_drains_the_rest() -> None:
+    made = supervisor(2)
+    made.start(0)
+    made.on_ready("i0", 1, 0)
+    made.on_ready("i1", 1, 0)
+    assert made.on_names(["i0", "i5"], S, 5 * S) == [Stop("i1", 1), Start("i5", 1)]
+
+
+@pytest.mark.parametrize("name", ["silent_us", "loop_ends", "first_wait_us"])
+def test_a_figure_that_makes_no_sense_is_refused(name: str) -> None:
+    with pytest.raises(ValueError, match=name):
+        Policy(**{name: 0})
+
+
+EVENTS = st.lists(
+    st.tuples(st.sampled_from(["ready", "beat", "end", "restart", "drain", "time", "stop"]),
+              st.integers(0, 2), st.integers(0, 12 * S)),
+    max_size=60,
+)  # fmt: skip
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(EVENTS)
+def test_there_is_never_more_than_one_process_and_each_wanted_one_comes_back(
+    events: list[tuple[str, int, int]],
+) -> None:
+    """The model is the set of processes that run. What is started must not be running; what is killed or
+    stopped must; and whoever is wanted gets a process in the end."""
+    made, now, running = supervisor(), 0, dict[str, int]()
+    drained: set[str] = set()
+
+    def carry_out(actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Start(name, run):
+                    assert name not in running and name not in drained
+                    running[name] = run
+                case Stop(name, run) | Kill(name, run, _):
+                    assert running[name] == run
+
+    carry_out(made.start(now))
+    for what, index, later in events:
+        now, name = now + later, f"i{index}"
+        run = running.get(name, 0)
+        if what == "ready":
+            carry_out(made.on_ready(name, run, now))
+        elif what == "beat":
+            carry_out(made.on_beat(name, run, now))
+        elif what == "end" and name in running:
+            del running[name]
+            carry_out(made.on_end(name, run, now))
+        elif what == "restart":
+            carry_out(made.on_restart(name, now))
+        elif what == "drain":
+            drained.add(name)
+            carry_out(made.on_drain(name, now, 5 * S))
+        elif what == "stop":
+            drained |= {"i0", "i1", "i2"}
+            carry_out(made.on_stop(now, 5 * S))
+        else:
+            carry_out(made.on_time(now))
+    for _ in range(8):  # all that is killed ends, and time goes on
+        for name, run in [*running.items()]:
+            if phase(made, name) is Phase.STOPPING:
+                del running[name]
+                carry_out(made.on_end(name, run, now))
+        now += POLICY.longest_wait_us
+        carry_out(made.on_time(now))
+        for name, run in [*running.items()]:
+            carry_out(made.on_ready(name, run, now))
+            carry_out(made.on_beat(name, run, now))
+    assert set(running) == {"i0", "i1", "i2"} - drained
+    assert made.ended == made.stopping
