The daemon's TOML file, checked whole; signals that stay harmless to a program's last line

Need: operators write a file; every fault is told in one go with file, table and key, an unknown key with the nearest known one. An instance's terms go through the same parser as the platform's. And a second SIGTERM that met the last steps of a stop killed the program, since the loop's handlers go with the loop: seen once as exit code -15 in test_process under load. Fuzzed by Hypothesis: bytes, changed files, any value in a table's place.

--- a/clayscale/__main__.py
+++ b/clayscale/__main__.py
@@ -10,6 +10,7 @@
 import sys
 import time
 from collections.abc import Mapping
+from functools import partial
 
 from clayscale.agent import Agent
 from clayscale.config import BadConfig, Config, load
@@ -17,6 +18,7 @@
 from clayscale.net.discovery import watch
 from clayscale.net.listener import Listener
 from clayscale.net.upstream import Upstream
+from clayscale.signals import on_signal
 
 log = logging.getLogger("clayscale")
 
@@ -61,13 +63,12 @@
     upstream = Upstream(descriptors.backends, config.idle_us, config.settings.connect_timeout_us)
     agent = Agent(config, upstream, watch)
     going_away = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, going_away.set)
+    on_signal(signal.SIGTERM, going_away.set)
     try:
         listener = Listener(agent, config.listen, descriptors, BodyBudget(config.memory_bytes))
     except OSError as fault:
         raise BadConfig(f"listen: {config.listen[0]}:{config.listen[1]}: {fault.strerror}") from None
-    loop.add_signal_handler(signal.SIGHUP, reload, os.environ, agent, listener)
+    on_signal(signal.SIGHUP, partial(reload, os.environ, agent, listener))
     agent.start()
     log.info(
         "%s: %d MB, %d descriptors, settings %s",
--- /dev/null
+++ b/clayscale/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""One long-lived process that runs a fleet of instances."""
--- /dev/null
+++ b/tests/daemon/test_configuration.py
@@ -0,0 +1,156 @@
+"""The daemon's file: every fault is told, and whatever the bytes are, a fault is all that comes of them."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from clayscale import config
+from clayscale.daemon.configuration import BadDocument, Document, check, instance_table, parse, read
+
+SHIPPED = Path(__file__).parents[2] / "deploy" / "sorrelfront.toml"
+PATH = Path("/etc/sorrelfront.toml")
+GOOD = """
+[daemon]
+control = "c.sock"
+[listeners.http]
+address = "127.0.0.1:8080"
+[classes.look]
+repeat = "safe"
+aim_ms = 100
+deadline_ms = 1000
+[membership]
+source = "fixed"
+servers = [{ id = "a", address = "127.0.0.1:9001" }]
+"""
+
+
+def faults(text: str) -> list[str]:
+    with pytest.raises(BadDocument) as caught:
+        parse(text.encode(), PATH)
+    return caught.value.lines()
+
+
+def test_the_shipped_file_is_good_and_its_terms_are_an_instances() -> None:
+    document = read(SHIPPED)
+    for number in range(document.daemon["instances"]):
+        terms = config.parse(instance_table(document, number))
+        assert terms.settings.number == number and terms.settings.agents == 2
+        assert {cls.name for cls in terms.settings.classes} == set(document.classes)
+        assert terms.settings.drain_grace_us == 500_000
+    seeds = {instance_table(document, number)["seed"] for number in range(2)}
+    assert len(seeds) == 2
+
+
+def test_a_fixed_list_is_what_the_instance_knows() -> None:
+    terms = config.parse(instance_table(parse(GOOD.encode(), PATH), 0))
+    assert [backend.id for backend in terms.known.backends] == ["a"]
+    assert terms.known.addresses == {"a": ("127.0.0.1", 9001)} and not terms.settings.subscribe
+
+
+def test_every_fault_is_told_in_one_go_with_file_table_and_key() -> None:
+    text = """
+    [daemon]
+    contol = 1
+    instances = 0
+    [listeners.x]
+    address = "nowhere"
+    [classes.a]
+    repeat = "keyed"
+    aim_ms = 5
+    deadline_ms = 1
+    [limts]
+    """
+    said = faults(text)
+    for part in (
+        "[] limts: is not a key known here; the nearest is 'limits'",
+        "[daemon] contol: is not a key known here; the nearest is 'control'",
+        "[daemon] control: is missing",
+        "[daemon] instances: must be at least 1: 0",
+        "[listeners.x] address: is not an IPv4 address",
+        "[classes.a] window_ms: is missing",
+        "[classes.a] aim_ms: must not be above deadline_ms",
+        "[membership] address: is missing",
+    ):
+        assert any(line.startswith(f"{PATH}: ") and part in line for line in said), (part, said)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ('control = "c.sock"', 'control = "c.sock"\nseed = true', "[daemon] seed: is not a whole number"),
+        ('control = "c.sock"', f'control = "{"c" * 200}"', "[daemon] control: is too long"),
+        ("aim_ms = 100", "aim_ms = nan", "[classes.look] aim_ms: must be at least"),
+        ("aim_ms = 100", "aim_ms = inf", "[classes.look] aim_ms: must be at most"),
+        ('repeat = "safe"', 'repeat = "sometimes"', "[classes.look] repeat: must be one of"),
+        ('repeat = "safe"', 'repeat = "safe"\nwindow_ms = 5', "[classes.look] window_ms: goes with"),
+        ('"127.0.0.1:9001" }', '"127.0.0.1:9001" }, { id = "a", address = "127.0.0.1:2" }', "is there twice"),
+        ("[classes.look]", "[listeners.b]\naddress='127.0.0.1:8080'\n[classes.look]", "listeners.http too"),
+        ('source = "fixed"', "", "goes with source = 'fixed' only"),
+    ],
+)
+def test_a_key_is_checked_for_type_range_and_against_others(old: str, new: str, said: str) -> None:
+    assert old in GOOD
+    assert any(said in line for line in faults(GOOD.replace(old, new, 1)))
+
+
+VALUES: st.SearchStrategy[Any] = st.recursive(
+    st.one_of(st.booleans(), st.integers(), st.floats(), st.text(max_size=8)),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner, max_size=3),
+    max_leaves=8,
+)
+
+
+def outcome(data: bytes) -> Document | list[str]:
+    try:
+        document = parse(data, PATH)
+    except BadDocument as bad:
+        lines = bad.lines()
+        assert lines and all(line.startswith(f"{PATH}: ") and "\n" not in line for line in lines)
+        return lines
+    for number in range(2):  # a good file has terms that an instance takes
+        config.parse(instance_table(document, min(number, document.daemon["instances"] - 1)))
+    return document
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(st.binary(max_size=400))
+def test_bytes_end_in_faults(data: bytes) -> None:
+    outcome(data)
+
+
+@settings(derandomize=True, deadline=None, max_examples=400)
+@given(st.data())
+def test_a_good_file_with_something_changed_ends_in_faults_or_in_terms(data: st.DataObject) -> None:
+    text = SHIPPED.read_text()
+    lines = text.split("\n")
+    for _ in range(data.draw(st.integers(1, 4))):
+        at = data.draw(st.integers(0, len(lines) - 1))
+        what = data.draw(st.sampled_from(["drop", "twice", "value", "noise"]))
+        if what == "drop":
+            del lines[at]
+        elif what == "twice":
+            lines.insert(at, lines[at])
+        elif what == "value" and "=" in lines[at]:
+            odd = ["-1", "0", "1e400", "nan", "true", '""', "[]", "{}", "9" * 30]
+            value = data.draw(st.sampled_from(odd))
+            lines[at] = f"{lines[at].split('=')[0]}= {value}"
+        else:
+            lines[at] = data.draw(st.text(max_size=20))
+    outcome("\n".join(lines).encode("utf-8", "surrogatepass"))
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.sampled_from(["daemon", "listeners", "classes", "limits", "rules", "membership"]), VALUES)
+def test_any_value_in_a_tables_place_is_a_fault(table: str, value: Any) -> None:
+    top = tomllib.loads(GOOD)
+    top[table] = value
+    try:
+        check(top, PATH)
+    except BadDocument as bad:
+        assert bad.lines()
