--- a/clayscale/__main__.py
+++ b/clayscale/__main__.py
@@ -18,7 +18,7 @@
 from clayscale.net.discovery import watch
 from clayscale.net.listener import Listener
 from clayscale.net.upstream import Upstream
-from clayscale.signals import on_signal
+from clayscale.signals import ignore_from_here, on_signal
 
 log = logging.getLogger("clayscale")
 
@@ -77,6 +77,7 @@
     await going_away.wait()
     await listener.close()
     agent.close()
+    ignore_from_here(signal.SIGTERM, signal.SIGHUP)
 
 
 def main() -> int:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -82,7 +82,9 @@
 
     async def end(self) -> int:
         if self.process.returncode is None:
-            self.process.send_signal(signal.SIGTERM)
+            # Not by the process object: it would look whether the process has ended, and reap it unseen.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, signal.SIGTERM)
         return await asyncio.wait_for(self.process.wait(), PATIENCE_S)
 
 
