The daemon: a supervisor with a fleet of instances, reload of all or none, control socket

Need: one process that stays up for months, is configured by a file and changed under load. `sorrelfront serve|check|ctl` with click and rich in the extra `cli`.

Not yet: replacement by a new program.

--- /dev/null
+++ b/clayscale/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The `sorrelfront` command."""
--- /dev/null
+++ b/clayscale/cli/main.py
@@ -0,0 +1,135 @@
+"""`sorrelfront serve | check | ctl | demo`. Exit codes: 0 done, 1 not done or faulty, 2 wrong usage."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from clayscale.daemon import control
+from clayscale.daemon.configuration import BadDocument, read
+
+FILE = click.argument("file", type=click.Path(path_type=Path))
+JSON = click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+FIGURES = ("offered", "served", "refused", "failed", "held", "connections", "ready_servers")
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="sorrelfront")
+def main() -> None:
+    """A client-side load balancer, run as a fleet of instances."""
+
+
+@main.command()
+@FILE
+def serve(file: Path) -> None:
+    """Run the daemon that FILE describes, in the foreground.
+
+    SIGHUP reads FILE again, SIGTERM drains and ends, SIGINT twice ends at once.
+    """
+    from clayscale.daemon import supervisor
+
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    raise SystemExit(supervisor.serve(file, lambda line: click.echo(line, err=True)))
+
+
+@main.command()
+@FILE
+@JSON
+def check(file: Path, as_json: bool) -> None:
+    """Check FILE: exit code 0, or one line a fault and exit code 1."""
+    faults: list[dict[str, str]] = []
+    lines: list[str] = []
+    try:
+        read(file)
+    except BadDocument as bad:
+        faults = [{"table": item.table, "key": item.key, "fault": item.what} for item in bad.faults]
+        lines = bad.lines()
+    if as_json:
+        click.echo(json.dumps({"ok": not faults, "file": str(file), "faults": faults}))
+    else:
+        for line in lines:
+            click.echo(line, err=True)
+    raise SystemExit(1 if faults else 0)
+
+
+@main.group()
+@FILE
+@click.pass_context
+def ctl(context: click.Context, file: Path) -> None:
+    """Talk to the daemon that runs by FILE."""
+    try:
+        context.obj = read(file).control
+    except BadDocument as bad:
+        raise click.ClickException("\n".join(bad.lines())) from None
+
+
+def _ask(path: Path, message: dict[str, Any]) -> dict[str, Any]:
+    try:
+        return asyncio.run(control.ask(path, message))
+    except control.Unavailable as fault:
+        raise click.ClickException(str(fault)) from None
+
+
+def _told(answer: dict[str, Any], as_json: bool, done: str) -> None:
+    """Print what came of an operation, and exit."""
+    if as_json:
+        click.echo(json.dumps(answer))
+    elif answer.get("ok"):
+        click.echo(done.format(**answer))
+    else:
+        for fault in answer.get("faults", ["the daemon's answer is not known here"]):
+            click.echo(fault, err=True)
+    raise SystemExit(0 if answer.get("ok") else 1)
+
+
+@ctl.command()
+@JSON
+@click.pass_obj
+def status(path: Path, as_json: bool) -> None:
+    """Show the instances and what they do."""
+    answer = _ask(path, {"op": "status"})
+    if as_json or not answer.get("ok"):
+        _told(answer, as_json, "")
+    up = f"up {answer['up_s']:.0f} s, file {answer['generation']}"
+    table = Table("instance", "phase", "run", "pid", *FIGURES, title=f"{answer['name']}: {up}")
+    for item in answer["instances"]:
+        phase = item["phase"] + (" (crash loop)" if item["crash_loop"] else "")
+        cells = [item["name"], phase, item["run"], item["pid"], *(item.get(name) for name in FIGURES)]
+        table.add_row(*("-" if cell is None else str(cell) for cell in cells))
+    Console(width=None).print(table)
+
+
+@ctl.command()
+@JSON
+@click.pass_obj
+def reload(path: Path, as_json: bool) -> None:
+    """Have every instance take the file as it is now, or none."""
+    _told(_ask(path, {"op": "reload"}), as_json, "{instances} instances go by the new file")
+
+
+@ctl.command()
+@click.argument("instance")
+@JSON
+@click.pass_obj
+def drain(path: Path, instance: str, as_json: bool) -> None:
+    """Take INSTANCE out of service: it finishes what it owes and ends."""
+    _told(_ask(path, {"op": "drain", "instance": instance}), as_json, f"{instance} drains")
+
+
+@ctl.command()
+@JSON
+@click.pass_obj
+def stop(path: Path, as_json: bool) -> None:
+    """Drain all instances and end the daemon."""
+    _told(_ask(path, {"op": "stop"}), as_json, "stopping")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/clayscale/daemon/control.py
@@ -0,0 +1,152 @@
+"""The control socket: Unix, for its owner alone, length-framed JSON.
+
+A frame is a length of four bytes, most significant first, and as many bytes of JSON, an object. A connection
+carries requests and their answers in turn. Whatever else comes closes it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import socket
+import stat
+import struct
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+FRAME_MOST = 64 * 1024  # bytes, either way
+PEERS_MOST = 16  # connections at once; more are closed at once
+SPEAK_S = 5.0  # for a peer's whole request, and for it to take the answer
+HEAD = struct.Struct(">I")
+
+Message = dict[str, Any]
+Handler = Callable[[Message], Awaitable[Message]]
+
+
+class Unavailable(Exception):
+    """No daemon answers there, or not as one does."""
+
+
+class Control:
+    """Serves the socket. Each peer has a task of its own, so a slow one holds up nobody."""
+
+    def __init__(self, path: Path, handler: Handler) -> None:
+        """Raises OSError, also if another daemon answers there."""
+        self._path = path
+        self._handler = handler
+        self._peers: set[asyncio.Task[None]] = set()
+        self._sock = _bind(path)
+        self._inode = os.stat(path).st_ino
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_unix_server(self._serve, sock=self._sock, limit=FRAME_MOST)
+
+    async def close(self) -> None:
+        self._server.close()
+        with contextlib.suppress(OSError):
+            if os.stat(self._path).st_ino == self._inode:  # not that of one who took over
+                self._path.unlink()
+        for task in self._peers:
+            task.cancel()
+        if self._peers:
+            await asyncio.wait(self._peers)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        try:
+            if len(self._peers) < PEERS_MOST and _is_owner(writer.get_extra_info("socket")):
+                self._peers.add(task)
+                await self._converse(reader, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
+            pass
+        finally:
+            self._peers.discard(task)
+            writer.transport.abort() if writer.transport.get_write_buffer_size() else writer.close()
+
+    async def _converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            async with asyncio.timeout(SPEAK_S):
+                message = await _read(reader)
+            answer = await self._handler(message)
+            writer.write(_frame(answer))
+            async with asyncio.timeout(SPEAK_S):
+                await writer.drain()
+
+
+def _bind(path: Path) -> socket.socket:
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    try:
+        with contextlib.suppress(FileNotFoundError):
+            if stat.S_ISSOCK(os.stat(path).st_mode) and not _answers(path):
+                path.unlink()  # left behind by one that was killed
+        before = os.umask(0o177)
+        try:
+            sock.bind(str(path))
+        finally:
+            os.umask(before)
+        sock.setblocking(False)
+        sock.listen(PEERS_MOST)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def _answers(path: Path) -> bool:
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe:
+        probe.settimeout(1.0)
+        try:
+            probe.connect(str(path))
+        except TimeoutError:
+            return True
+        except OSError:
+            return False
+    return True
+
+
+def _is_owner(sock: socket.socket) -> bool:
+    """Whether the peer is the daemon's own user, or root, by the kernel's word: SO_PEERCRED."""
+    _, uid, _ = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))
+    return uid in (0, os.geteuid())
+
+
+def _frame(message: Message) -> bytes:
+    data = json.dumps(message).encode()
+    if len(data) > FRAME_MOST:
+        data = json.dumps({"ok": False, "fault": "the answer is too long"}).encode()
+    return HEAD.pack(len(data)) + data
+
+
+async def _read(reader: asyncio.StreamReader) -> Message:
+    """One frame. Raises ValueError if it is none."""
+    (length,) = HEAD.unpack(await reader.readexactly(HEAD.size))
+    if length > FRAME_MOST:
+        raise ValueError("the frame is too long")
+    try:
+        message = json.loads(await reader.readexactly(length))
+    except RecursionError:
+        raise ValueError("the frame is nested too deep") from None
+    if not isinstance(message, dict):
+        raise ValueError("the frame holds no object")
+    return message
+
+
+async def ask(path: Path, message: Message, within_s: float = 30.0) -> Message:
+    """One request and its answer. Raises Unavailable."""
+    writer = None
+    try:
+        async with asyncio.timeout(within_s):
+            reader, writer = await asyncio.open_unix_connection(path, limit=FRAME_MOST)
+            writer.write(_frame(message))
+            return await _read(reader)
+    except TimeoutError:
+        raise Unavailable(f"{path}: no answer in {within_s:g} s") from None
+    except (OSError, EOFError, ValueError) as fault:
+        raise Unavailable(f"{path}: {fault or type(fault).__name__}") from None
+    finally:
+        if writer is not None:
+            writer.close()
--- /dev/null
+++ b/clayscale/daemon/instance.py
@@ -0,0 +1,229 @@
+"""One instance: a process with one balancer, told by its supervisor over a channel what to do.
+
+`python -m clayscale.daemon.instance FD NAME`, started by the supervisor alone. When the channel ends, the
+supervisor is gone: the instance finishes what it owes and ends. Risk: an orphan serves on by old terms.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import signal
+import socket
+import sys
+from typing import Any
+
+from clayscale.__main__ import Sparse
+from clayscale.agent import Agent, Source
+from clayscale.config import BadConfig, Config, parse
+from clayscale.daemon.channel import BadMessage, Message, receive, send
+from clayscale.messages import Address
+from clayscale.net import discovery
+from clayscale.net.budget import BodyBudget, Descriptors
+from clayscale.net.listener import Listener
+from clayscale.net.upstream import Upstream
+from clayscale.signals import ignore_from_here, on_signal
+
+log = logging.getLogger("clayscale.instance")
+
+BEAT_S = 0.25  # between signs of life, each with the figures for status
+FLUSH_S = 0.3  # for answers to leave, when all that is owed has been failed
+
+
+class FixedList:
+    """A membership source whose list never changes but by a reload."""
+
+    def __init__(self, config: Config, on_update: Any) -> None:
+        self._known = config.known
+        self._on_update = on_update
+
+    def subscribe(self) -> None:
+        self._on_update(self._known)
+
+    def reload(self, config: Config) -> None:
+        if config.known != self._known:
+            self._known = config.known
+            self._on_update(self._known)
+
+    def close(self) -> None:
+        pass
+
+
+class Instance:
+    """The parts of one instance, and what its supervisor may have it do."""
+
+    def __init__(self, channel: socket.socket) -> None:
+        self._channel = channel
+        self._agent: Agent | None = None
+        self._table: Message = {}
+        self._config: Config | None = None
+        self._listeners: dict[Address, Listener] = {}
+        self._wanted: set[Address] = set()
+        self._leaving: set[asyncio.Task[None]] = set()  # listeners that were moved away, while they end
+        self._bodies: BodyBudget | None = None
+        self.going_away = asyncio.Event()
+        self.at_once = False
+        self.others = False
+
+    def watch(self) -> None:
+        asyncio.get_running_loop().add_reader(self._channel.fileno(), self._heard)
+
+    def _heard(self) -> None:
+        try:
+            got = receive(self._channel)
+        except BlockingIOError:
+            return
+        except BadMessage as fault:
+            log.warning("%s", fault)
+            return
+        if got is None:
+            asyncio.get_running_loop().remove_reader(self._channel.fileno())
+            log.warning("the supervisor is gone")
+            self.going_away.set()
+            return
+        message, descriptors = got
+        sockets = [socket.socket(fileno=descriptor) for descriptor in descriptors]
+        match message.get("op"):
+            case "start" | "reload":
+                self._take(message, sockets)
+            case "commit":
+                self._settle()
+            case "stop":
+                self.others = bool(message.get("others"))
+                self.going_away.set()
+            case "abort":
+                self.at_once = True
+                self.going_away.set()
+            case other:
+                log.warning("the supervisor said what is not known here: %s", other)
+
+    def _take(self, message: Message, sockets: list[socket.socket]) -> None:
+        """Go by these terms, or tell why not; then the ones before stay."""
+        fault = None
+        before = (self._config, self._table) if self._config is not None else None
+        try:
+            config = parse(message["table"])
+            if self._agent is None:
+                self._begin(config, message["table"])
+            else:
+                self._change(config, message["table"])
+            self._listen(config, sockets)
+        except BadConfig as bad:
+            fault = str(bad)
+        except Exception as failed:
+            log.exception("taking new terms failed")
+            fault = f"{type(failed).__name__}: {failed}"
+        finally:
+            if fault is not None and before is not None and self._agent is not None:
+                self._config, self._table = before
+                if self._config is not None:
+                    self._agent.reload(self._config)
+            for sock in sockets:
+                if fault is not None or not any(item.owns(sock) for item in self._listeners.values()):
+                    sock.close()
+        send(self._channel, {"op": "taken", "id": message.get("id"), "fault": fault})
+
+    def _begin(self, config: Config, table: Message) -> None:
+        descriptors = Descriptors(config.sockets)
+        upstream = Upstream(descriptors.backends, config.idle_us, config.settings.connect_timeout_us)
+        self._bodies = BodyBudget(config.memory_bytes)
+        self._agent = Agent(config, upstream, self._source)
+        self._table, self._config = table, config
+        self._agent.start()
+        asyncio.get_running_loop().call_soon(self._beat)
+
+    def _source(self, config: Config, on_update: Any, on_failure: Any) -> Source:
+        if self._table.get("source") == "fixed":
+            return FixedList(config, on_update)
+        return discovery.watch(config, on_update, on_failure)
+
+    def _change(self, config: Config, table: Message) -> None:
+        assert self._agent is not None
+        if table.get("source") != self._table.get("source"):
+            raise BadConfig("membership.source takes a restart")
+        self._agent.reload(config)
+        self._table, self._config = table, config
+
+    def _listen(self, config: Config, sockets: list[socket.socket]) -> None:
+        """Listen on these sockets too; those listened on already are told the new limits. What is not among
+        them is listened on until all instances have taken the terms, so that they can go back."""
+        assert self._agent is not None and self._bodies is not None
+        wanted: dict[Address, socket.socket] = {sock.getsockname(): sock for sock in sockets}
+        self._wanted = set(wanted)
+        descriptors = Descriptors(config.sockets)
+        share = max(1, len(wanted))
+        descriptors.clients //= share
+        descriptors.asking //= share
+        for address, sock in wanted.items():
+            if address in self._listeners:
+                self._listeners[address].resize(descriptors, config.memory_bytes)
+            else:
+                self._listeners[address] = Listener(self._agent, sock, descriptors, self._bodies)
+
+    def _settle(self) -> None:
+        """The terms taken last hold for good: leave the listeners that they do not name, as at a stop."""
+        for address in [address for address in self._listeners if address not in self._wanted]:
+            task = asyncio.create_task(self._listeners.pop(address).close())
+            self._leaving.add(task)
+            task.add_done_callback(self._leaving.discard)
+
+    def _beat(self) -> None:
+        agent = self._agent
+        assert agent is not None
+        figures = {
+            "offered": agent.offered, "served": agent.served, "refused": agent.refused,
+            "failed": agent.failed, "held": agent.owed, "attempts": agent.attempts,
+            "connections": sum(listener.connections for listener in self._listeners.values()),
+            "servers": len(agent.balancer.servers), "ready_servers": len(agent.balancer.ready),
+        }  # fmt: skip
+        send(self._channel, {"op": "beat", "figures": figures})
+        asyncio.get_running_loop().call_later(BEAT_S, self._beat)
+
+    async def close(self) -> None:
+        """Finish what is owed, or fail it at once."""
+        agent = self._agent
+        if agent is None:
+            return
+        if not self.at_once:
+            ends = [item.close(self.others) for item in self._listeners.values()]
+            closing = {*map(asyncio.create_task, ends), *self._leaving}
+            while closing and not self.at_once:
+                _, closing = await asyncio.wait(closing, timeout=0.05)
+            for task in closing:
+                task.cancel()
+        if self.at_once:
+            agent.fail_all()
+            await asyncio.sleep(FLUSH_S)
+        agent.close()
+
+
+async def run(channel: socket.socket) -> None:
+    instance = Instance(channel)
+    on_signal(signal.SIGTERM, instance.going_away.set)
+    instance.watch()
+    await instance.going_away.wait()
+    await instance.close()
+    ignore_from_here(signal.SIGTERM)
+
+
+def main() -> int:
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # a terminal sends it to all; the supervisor decides
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    handler = logging.StreamHandler()
+    handler.addFilter(Sparse())
+    logging.basicConfig(
+        level=logging.INFO,
+        format=f"%(asctime)s %(levelname)s {sys.argv[2]}: %(message)s",
+        handlers=[handler],
+    )
+    gc.freeze()
+    gc.set_threshold(5_000, 4, 2)
+    channel = socket.socket(fileno=int(sys.argv[1]))
+    channel.setblocking(False)
+    asyncio.run(run(channel))
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/clayscale/net/listener.py
+++ b/clayscale/net/listener.py
@@ -103,6 +103,7 @@
         self._changed = asyncio.Event()
         if isinstance(address, socket.socket):
             self._sock = address
+            address.listen(BACKLOG)  # another that shares it may have stopped letting in more
         else:
             self._sock = socket.create_server(address, backlog=BACKLOG)
         self._sock.setblocking(False)
@@ -118,6 +119,9 @@
         host, port = self._sock.getsockname()
         return host, port
 
+    def owns(self, sock: socket.socket) -> bool:
+        return self._sock is sock
+
     @property
     def connections(self) -> int:
         return len(self._clients)
--- a/standins/http1.py
+++ b/standins/http1.py
@@ -110,6 +110,8 @@
     def __init__(self) -> None:
         self.watches = 0
         self.asked = asyncio.Event()
+        self.known: list[dict[str, Any]] = []  # the whole list, told first on each watch if there is one
+        self.revision = 1
         self._open: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> Registry:
@@ -123,6 +125,8 @@
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             self.watches += 1
             self._open.add(writer)
+            if self.known:
+                self._line(writer, self.revision, True, self.known)
             self.asked.set()
             while not writer.is_closing() and not reader.at_eof():
                 self._chunk(writer, b"\n")
@@ -135,9 +139,23 @@
         writer.write(b"%x\r\n%s\r\n" % (len(data), data))
 
     def tell(self, revision: int, *members: dict[str, Any], complete: bool = False) -> None:
-        update = {"revision": revision, "complete": complete, "members": list(members)}
         for writer in self._open:
-            self._chunk(writer, json.dumps(update).encode() + b"\n")
+            self._line(writer, revision, complete, list(members))
+
+    def change(self, *members: dict[str, Any]) -> None:
+        """Tell every watch what is otherwise with these, and remember it for the watches to come."""
+        self.revision += 1
+        for changed in members:
+            self.known = [item for item in self.known if item["id"] != changed["id"]]
+            if changed["phase"] != "gone":
+                self.known.append(changed)
+        self.tell(self.revision, *members)
+
+    def _line(
+        self, writer: asyncio.StreamWriter, revision: int, complete: bool, members: list[dict[str, Any]]
+    ) -> None:
+        update = {"revision": revision, "complete": complete, "members": members}
+        self._chunk(writer, json.dumps(update).encode() + b"\n")
 
     @property
     def open(self) -> int:
--- /dev/null
+++ b/tests/daemon/fleet.py
@@ -0,0 +1,118 @@
+"""A daemon as it is started, with stand-ins around it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from typing import Any
+
+from clayscale.daemon import control
+from standins.http1 import PATIENCE_S, Backend, Registry, answer, member
+from tests.test_process import ROOT, free_address
+
+OK = answer(b"served")
+
+
+class Fleet:
+    """The daemon's process, its file and its control socket."""
+
+    def __init__(self, folder: Path, registry: str, instances: int = 2) -> None:
+        self.folder = folder
+        self.path = folder / "sorrelfront.toml"
+        self.address = free_address()
+        self.instances = instances
+        self.registry = registry
+        self.log = folder / "log"
+        self.environ: dict[str, str] = {}
+        self.tell_registry: Callable[..., None] = print
+        self.write()
+
+    def text(self, **changes: Any) -> str:
+        """The file, with some of it otherwise."""
+        address = changes.get("address", self.address)
+        classes = changes.get("classes", ("look", "book", "pay"))
+        repeats = {"look": "safe", "book": "keyed", "pay": "unsafe"}
+        tables = "".join(
+            f"[classes.{name}]\nrepeat = '{repeats[name]}'\naim_ms = 3000\ndeadline_ms = 5000\n"
+            + ("window_ms = 4000\n" if name == "book" else "")
+            for name in classes
+        )
+        return f"""
+[daemon]
+control = "c.sock"
+instances = {changes.get("instances", self.instances)}
+sockets = {changes.get("sockets", 512)}
+reload_within_ms = {changes.get("reload_within_ms", 10_000)}
+hang_after_ms = {changes.get("hang_after_ms", 20_000)}
+restart_first_ms = 50
+[listeners.http]
+address = "{address[0]}:{address[1]}"
+{tables}
+[membership]
+address = "{self.registry}"
+"""
+
+    def write(self, **changes: Any) -> None:
+        fresh = self.path.with_suffix(".new")
+        fresh.write_text(self.text(**changes))
+        fresh.replace(self.path)
+
+    async def start(self) -> None:
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "clayscale.cli.main", "serve", str(self.path),
+                cwd=ROOT, env={**os.environ, **self.environ}, stderr=log,
+            )  # fmt: skip
+
+    async def ask(self, op: str, **more: Any) -> dict[str, Any]:
+        return await control.ask(self.folder / "c.sock", {"op": op, **more}, PATIENCE_S)
+
+    async def status(self) -> dict[str, dict[str, Any]]:
+        """By instance."""
+        return {item["name"]: item for item in (await self.ask("status"))["instances"]}
+
+    async def ready(self, count: int | None = None) -> dict[str, dict[str, Any]]:
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                with contextlib.suppress(control.Unavailable):
+                    found = await self.status()
+                    ready = [item for item in found.values() if item["phase"] == "ready"]
+                    wanted = self.instances if count is None else count
+                    if len(ready) == wanted and all(item.get("ready_servers", 0) for item in ready):
+                        return found
+                await asyncio.sleep(0.02)
+
+    def signal(self, number: signal.Signals) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(self.process.pid, number)
+
+    async def ended(self) -> int:
+        return await asyncio.wait_for(self.process.wait(), PATIENCE_S)
+
+
+@contextlib.asynccontextmanager
+async def fleet(folder: Path, *backends: Backend, instances: int = 2) -> AsyncIterator[Fleet]:
+    """A started daemon that knows these servers."""
+    registry = await Registry().start()
+    made = Fleet(folder, registry.address, instances)
+    made.tell_registry = registry.change
+    registry.known = [member(f"b{at}", backend.address) for at, backend in enumerate(backends)]
+    await made.start()
+    try:
+        await made.ready()
+        yield made
+        made.signal(signal.SIGTERM)
+        assert await made.ended() == 0, made.log.read_text()
+        assert "Traceback" not in made.log.read_text(), made.log.read_text()
+    finally:
+        if made.process.returncode is None:
+            made.process.kill()
+            await made.process.wait()
+        registry.stop()
+        for backend in backends:
+            backend.stop()
--- a/tests/net/test_closing.py
+++ b/tests/net/test_closing.py
@@ -23,6 +23,7 @@
 from clayscale.net.budget import Descriptors
 from clayscale.net.http import Wire
 from clayscale.net.upstream import Upstream
+from standins.crowd import Peer
 from tests.loopback import PATIENCE_S, Backend, World, answer, request, table, world
 
 TURNS = 31  # of the loop, from none to 30
@@ -71,57 +72,6 @@
 }  # fmt: skip
 
 
-class Peer:
-    """A client by its socket alone: what it sends is in the agent's kernel when `send` returns."""
-
-    def __init__(self, address: tuple[str, int], sock: socket.socket | None = None) -> None:
-        self.sock = sock or socket.create_connection(address)
-        self.sock.setblocking(False)
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # a second piece goes out at once too
-        self._read = bytearray()
-        self.told_to_close = False
-
-    def send(self, data: bytes) -> None:
-        assert self.sock.send(data) == len(data)
-
-    async def answer(self) -> bytes:
-        """The next answer's status line; "reset" if the kernel says that bytes were never read."""
-        loop = asyncio.get_running_loop()
-        async with asyncio.timeout(PATIENCE_S):
-            while b"\r\n\r\n" not in self._read:
-                if not await self._more(loop):
-                    return b"reset" if await self.was_reset() else b"lost"
-            head, _, rest = bytes(self._read).partition(b"\r\n\r\n")
-            (length,) = (int(x[15:]) for x in head.lower().split(b"\r\n") if x.startswith(b"content-length"))
-            while len(rest) < length:
-                if not await self._more(loop):
-                    return b"lost"
-                rest = bytes(self._read).partition(b"\r\n\r\n")[2]
-            del self._read[: len(head) + 4 + length]
-            self.told_to_close = b"connection: close" in head.lower()
-            return head.split(b"\r\n")[0]
-
-    async def _more(self, loop: asyncio.AbstractEventLoop) -> bool:
-        try:
-            data = await loop.sock_recv(self.sock, 65_536)
-        except ConnectionError:
-            return False
-        self._read += data
-        return bool(data)
-
-    async def was_reset(self) -> bool:
-        """After an end: the kernel's state is CLOSE (7) once a reset came, too, and stays CLOSE_WAIT (8) if
-        all that was sent has been read. What crossed the end is reset a moment after it."""
-        for _ in range(200):
-            if self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == 7:
-                return True
-            await asyncio.sleep(0.005)
-        return False
-
-    def close(self) -> None:
-        self.sock.close()
-
-
 async def turns(count: int) -> None:
     for _ in range(count):
         await asyncio.sleep(0)
