--- /dev/null
+++ b/clayscale/cli/demo.py
@@ -0,0 +1,273 @@
+"""`sorrelfront demo`: a daemon between stand-ins that get into trouble, and a count of what it cost.
+
+What is lost is counted from the clients' books, what ran twice or too late from the servers'; never from the
+daemon's own figures.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import statistics
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from rich.console import Console, Group
+from rich.live import Live
+from rich.table import Table
+
+from clayscale.daemon import control
+from standins.crowd import CLASSES, LOST, Crowd
+from standins.http1 import Registry, member
+from standins.shop import Book, Mode, Server
+
+CLIENTS = 24
+PAUSE_S = 0.05  # between a client's answer and its next request
+SERVERS = 5
+WINDOW_S = 4.0
+COLD_S, COLD_FROM, COLD_MULTIPLE, COLD_SPAN_S = 9.0, 0.3, 3.0, 1.5
+READY_WITHIN_S = 30.0
+END_WITHIN_S = 30.0
+
+FILE = """
+[daemon]
+control = "control.sock"
+instances = {instances}
+seed = {seed}
+[listeners.http]
+address = "127.0.0.1:{port}"
+[classes.look]
+repeat = "safe"
+aim_ms = 300
+deadline_ms = 2000
+[classes.book]
+repeat = "keyed"
+aim_ms = 500
+deadline_ms = 3000
+window_ms = 4000
+[classes.pay]
+repeat = "unsafe"
+aim_ms = 500
+deadline_ms = 3000
+[limits]
+held = {held}
+[membership]
+address = "{registry}"
+"""
+
+
+class CannotRun(Exception):
+    """The demo could not be brought up, in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """Something that happens at this share of the time."""
+
+    at: float
+    what: str
+    do: Callable[[Demo], Any]
+
+
+class Demo:
+    """The stand-ins, the daemon and the load."""
+
+    def __init__(self, folder: Path, seconds: float, instances: int, seed: int) -> None:
+        self.folder = folder
+        self.seconds = seconds
+        self.instances = instances
+        self.seed = seed
+        self.path = folder / "demo.toml"
+        self.log = folder / "daemon.log"
+        self.servers: dict[str, Server] = {}
+        self.book = Book(WINDOW_S)
+        self.happened: list[str] = []
+        self.reloads = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, show: Callable[[Demo], None]) -> dict[str, Any]:
+        """Play it and return the figures. Raises CannotRun."""
+        self.registry = await Registry().start()
+        for number in range(SERVERS):
+            await self.add(f"b{number}")
+        self.registry.known = [member(name, server.address) for name, server in self.servers.items()]
+        self.port = _free_port()
+        self.write(1_000)
+        with self.log.open("wb") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "clayscale.cli.main", "serve", str(self.path), stderr=log, stdout=log
+            )
+        try:
+            await self._ready(process)
+            self.crowd = Crowd(("127.0.0.1", self.port), CLIENTS, PAUSE_S)
+            await self._play(show)
+            await self.crowd.finish()
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, signal.SIGTERM)
+            async with asyncio.timeout(END_WITHIN_S):
+                code = await process.wait()
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            self.registry.stop()
+            for server in self.servers.values():
+                server.stop()
+        return self.figures(code)
+
+    async def _ready(self, process: asyncio.subprocess.Process) -> None:
+        until = time.monotonic() + READY_WITHIN_S
+        while time.monotonic() < until and process.returncode is None:
+            with contextlib.suppress(control.Unavailable):
+                status = await control.ask(self.folder / "control.sock", {"op": "status"}, 1.0)
+                if all(item.get("ready_servers") == SERVERS for item in status["instances"]):
+                    return
+            await asyncio.sleep(0.02)
+        raise CannotRun(f"the daemon did not become ready: {self.log.read_text()[-500:].strip()}")
+
+    async def _play(self, show: Callable[[Demo], None]) -> None:
+        began = time.monotonic()
+        steps = list(STEPS)
+        while (now := time.monotonic() - began) < self.seconds:
+            while steps and now >= steps[0].at * self.seconds:
+                step = steps.pop(0)
+                self.happened.append(f"{now:5.1f} s  {step.what}")
+                done = step.do(self)
+                if asyncio.iscoroutine(done):
+                    task = asyncio.create_task(done)
+                    self._tasks.add(task)
+                    task.add_done_callback(self._tasks.discard)
+            show(self)
+            await asyncio.sleep(0.1)
+
+    # What happens
+
+    def write(self, held: int) -> None:
+        text = FILE.format(
+            instances=self.instances, seed=self.seed, port=self.port, held=held,
+            registry=self.registry.address,
+        )  # fmt: skip
+        fresh = self.path.with_suffix(".new")
+        fresh.write_text(text)
+        fresh.replace(self.path)
+
+    async def add(self, name: str) -> Server:
+        server = self.servers[name] = Server(name, self.book)
+        await server.start()
+        return server
+
+    def mode(self, name: str, mode: Mode) -> None:
+        self.servers[name].mode = mode
+
+    def drain(self, name: str) -> None:
+        self.registry.change(member(name, self.servers[name].address, "draining"))
+        self.servers[name].drain()
+
+    async def newcomer(self, name: str) -> None:
+        server = await self.add(name)
+        server.begin()
+        started = {"up_since_ms": int(time.time() * 1000)}
+        self.registry.change({**member(name, server.address), **started})
+
+    async def reload(self) -> None:
+        self.write(900)
+        answered = await control.ask(self.folder / "control.sock", {"op": "reload"})
+        self.reloads += bool(answered.get("ok"))
+
+    # What it cost
+
+    def counts(self, cls: str | None = None) -> dict[str, int]:
+        """What clients saw, of one class or of all."""
+        found = {"offered": 0, "served": 0, "refused": 0, "failed": 0}
+        for (name, got), count in self.crowd.by_class.items():
+            if cls is not None and name != cls:
+                continue
+            found["offered"] += count
+            if got.startswith(b"HTTP/1.1 200"):
+                found["served"] += count
+            elif got[:12] in (b"HTTP/1.1 429", b"HTTP/1.1 503"):
+                found["refused"] += count
+            else:
+                found["failed"] += count
+        return found
+
+    def figures(self, code: int) -> dict[str, Any]:
+        ms = sorted(1000 * latency for latency in self.crowd.latencies)
+        cuts = statistics.quantiles(ms, n=100) if len(ms) > 1 else [0.0] * 99
+        servers = self.servers.values()
+        return {
+            **self.counts(),
+            "lost": self.crowd.book[LOST],
+            "doubled": len(self.book.doubled),
+            "late_drains": sum(server.late_drains for server in servers),
+            "cold_overruns": sum(
+                server.cold_overruns(COLD_S, COLD_FROM, COLD_MULTIPLE, COLD_SPAN_S) for server in servers
+            ),
+            "p50_ms": round(cuts[49], 3),
+            "p99_ms": round(cuts[98], 3),
+            "longest_gap_ms": round(self.crowd.gap_s * 1000, 3),
+            "reloads": self.reloads,
+            "daemon_exit": code,
+            "classes": {cls: self.counts(cls) for cls in CLASSES},
+            "servers": {server.name: server.requests for server in servers},
+            "seconds": self.seconds,
+        }
+
+
+STEPS = (
+    Step(0.15, "b0 takes ten times as long", lambda demo: demo.mode("b0", Mode.SLOW)),
+    Step(0.30, "b0 is well again", lambda demo: demo.mode("b0", Mode.WELL)),
+    Step(0.32, "b1 drains", lambda demo: demo.drain("b1")),
+    Step(0.40, "the file is changed and reloaded", lambda demo: demo.reload()),
+    Step(0.50, "b2 hangs", lambda demo: demo.mode("b2", Mode.HUNG)),
+    Step(0.65, "b2 is well again", lambda demo: demo.mode("b2", Mode.WELL)),
+    Step(0.67, "b5 is started, cold", lambda demo: demo.newcomer("b5")),
+    Step(0.80, "b3 fails everything", lambda demo: demo.mode("b3", Mode.FAILING)),
+    Step(0.90, "b3 is well again", lambda demo: demo.mode("b3", Mode.WELL)),
+)
+
+
+def broken(figures: dict[str, Any]) -> list[str]:
+    """The rules that were broken, by their figures."""
+    return [name for name in ("lost", "doubled", "late_drains", "cold_overruns") if figures[name]]
+
+
+def _free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return int(sock.getsockname()[1])
+
+
+def _picture(demo: Demo) -> Group:
+    classes = Table("class", "offered", "served", "refused", "failed")
+    for cls in (*CLASSES, None):
+        counts = demo.counts(cls)
+        classes.add_row(cls or "all", *(str(count) for count in counts.values()))
+    servers = Table("server", "requests", "state")
+    for server in demo.servers.values():
+        state = "draining" if server.drained_at is not None else server.mode.value
+        servers.add_row(server.name, str(server.requests), state)
+    return Group(classes, servers, "\n".join(demo.happened))
+
+
+def play(seconds: float, instances: int, seed: int, quiet: bool) -> dict[str, Any]:
+    """Run the demo; unless `quiet`, with a live table. Raises CannotRun."""
+
+    async def run() -> dict[str, Any]:
+        with tempfile.TemporaryDirectory(prefix="sorrelfront-") as folder:
+            demo = Demo(Path(folder), seconds, instances, seed)
+            if quiet:
+                return await demo.run(lambda _: None)
+            with Live(console=Console(), refresh_per_second=5) as live:
+                return await demo.run(lambda playing: live.update(_picture(playing)))
+
+    return asyncio.run(run())
--- a/clayscale/cli/main.py
+++ b/clayscale/cli/main.py
@@ -131,5 +131,29 @@
     _told(_ask(path, {"op": "stop"}), as_json, "stopping")
 
 
+@main.command()
+@click.option("--seconds", type=click.FloatRange(1.0, 3_600.0), default=20.0, show_default=True)
+@click.option("--instances", type=click.IntRange(1, 16), default=2, show_default=True)
+@click.option("--seed", type=click.IntRange(0, 2**31), default=1, show_default=True)
+@JSON
+def demo(seconds: float, instances: int, seed: int, as_json: bool) -> None:
+    """Play a daemon between stand-in servers in trouble; exit code 1 if a rule was broken."""
+    from clayscale.cli import demo as played
+
+    try:
+        figures = played.play(seconds, instances, seed, quiet=as_json)
+    except played.CannotRun as fault:
+        raise click.ClickException(str(fault)) from None
+    broken = played.broken(figures)
+    if as_json:
+        click.echo(json.dumps(figures))
+    else:
+        for name in ("offered", "served", "refused", "failed", "lost", "doubled", "late_drains",
+                     "cold_overruns", "p50_ms", "p99_ms", "longest_gap_ms"):  # fmt: skip
+            click.echo(f"{name:>15}  {figures[name]}")
+        click.echo(f"rules broken: {', '.join(broken)}" if broken else "all four rules were kept")
+    raise SystemExit(1 if broken or figures["daemon_exit"] else 0)
+
+
 if __name__ == "__main__":
     main()
