Replacement under load: a new program takes over the sockets and the learnt estimates

Need: a new version in place of the running one without a refused connect, and without every server being unheard of.

--- /dev/null
+++ b/aspentrail/learnt.py
@@ -0,0 +1,141 @@
+"""What a balancer has learnt of servers and classes, as a bounded text that another one may take up. No I/O.
+
+The text is one line of JSON behind its version and checksum. Who takes it up checks all of it first: torn,
+of another version, or too old, it is refused whole. Times within are ages in microseconds, since the two
+programs need not share a clock's start.
+"""
+
+from __future__ import annotations
+
+import json
+import zlib
+from math import isfinite
+from typing import Any
+
+from aspentrail.rules import Balancer, Kind, Recent, Usual
+
+VERSION = 1
+SERVERS_MOST = 512  # those heard from last; the others start as unheard of, as all do without a snapshot
+NAMES_MOST = 256  # classes, and kinds of servers
+TEXT_MOST = 80 * 1024  # bytes: it goes over a socket in one message
+AGE_MOST_US = 30_000_000  # older tells of another hour's load
+VALUE_MOST = 1e17  # Unix time is the largest figure here, below 2e15
+
+
+class Unusable(Exception):
+    """A snapshot that is not taken up, and why."""
+
+
+def _recent(item: Recent, now: int) -> list[float]:
+    return [item.usual.value, item.usual.count, item.value, now - item.stamp]
+
+
+def snapshot(balancer: Balancer, now: int, at_us: int) -> str:
+    """What this balancer has learnt by now. `at_us` is Unix time."""
+    heard = [server for server in balancer.servers.values() if server.stamp >= 0]
+    heard.sort(key=lambda server: server.stamp, reverse=True)
+    body = {
+        "at_us": at_us,
+        "common_us": balancer.common_us,
+        "usual": {name: [item.value, item.count] for name, item in [*balancer.usual.items()][:NAMES_MOST]},
+        "hints": {name: [item.value, item.count] for name, item in [*balancer.hints.items()][:NAMES_MOST]},
+        "kinds": {
+            name: [*_recent(kind, now), kind.ahead] for name, kind in [*balancer.kinds.items()][:NAMES_MOST]
+        },
+        "late": _recent(balancer.late, now),
+        "servers": {
+            server.info.id: [
+                server.info.started_us, server.estimate, server.mean, server.ahead, now - server.stamp,
+                now - server.heard_at if server.heard_at >= 0 else -1,
+            ]
+            for server in heard[:SERVERS_MOST]
+        },
+    }  # fmt: skip
+    text = _sealed(body)
+    while len(text) > TEXT_MOST and body["servers"]:  # long names: fewer of them
+        kept = [*body["servers"].items()]  # type: ignore[attr-defined]
+        body["servers"] = dict(kept[: len(kept) // 2])
+        text = _sealed(body)
+    return text
+
+
+def _sealed(body: dict[str, Any]) -> str:
+    data = json.dumps(body, separators=(",", ":"))
+    return f"{VERSION} {zlib.crc32(data.encode()):08x} {data}"
+
+
+def _numbers(value: Any, count: int) -> list[float]:
+    """Exactly so many finite numbers. Raises Unusable."""
+    if not isinstance(value, list) or len(value) != count:
+        raise Unusable("a row has another length")
+    for item in value:
+        if isinstance(item, bool) or not isinstance(item, (int, float)) or not isfinite(item):
+            raise Unusable("a figure is no number")
+        if not -1 <= item <= VALUE_MOST:
+            raise Unusable("a figure is out of bounds")
+    return value
+
+
+def _rows(body: dict[str, Any], key: str, count: int, most: int) -> dict[str, list[float]]:
+    table = body.get(key)
+    if not isinstance(table, dict) or len(table) > most:
+        raise Unusable(f"{key} is no table of at most {most} rows")
+    return {name: _numbers(row, count) for name, row in table.items()}
+
+
+def adopt(balancer: Balancer, text: str, now: int, at_us: int) -> int:
+    """Take up a snapshot; returns of how many servers something is known now. Servers that the list does not
+    have, or that have been started anew since, are left out. Raises Unusable, and then changes nothing."""
+    if len(text) > TEXT_MOST:
+        raise Unusable("it is too long")
+    version, _, rest = text.partition(" ")
+    checksum, _, data = rest.partition(" ")
+    if version != str(VERSION):
+        raise Unusable(f"it is of version {version[:8]!r}, not {VERSION}")
+    if checksum != f"{zlib.crc32(data.encode('utf-8', 'surrogatepass')):08x}":
+        raise Unusable("its checksum is wrong")
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError):
+        raise Unusable("it is not JSON") from None
+    if not isinstance(body, dict):
+        raise Unusable("it is not an object")
+    (made_us, common_us) = _numbers([body.get("at_us"), body.get("common_us")], 2)
+    if not -AGE_MOST_US <= at_us - made_us <= AGE_MOST_US:
+        raise Unusable(f"it is {(at_us - made_us) / 1e6:.0f} s old")
+    usual = _rows(body, "usual", 2, NAMES_MOST)
+    hints = _rows(body, "hints", 2, NAMES_MOST)
+    kinds = _rows(body, "kinds", 5, NAMES_MOST)
+    servers = _rows(body, "servers", 6, SERVERS_MOST)
+    late = _numbers(body.get("late"), 4)
+    older = max(0, int(at_us - made_us))  # since then
+    for table, rows in ((balancer.usual, usual), (balancer.hints, hints)):
+        for name, row in rows.items():
+            if name in table:
+                _set_usual(table[name], row)
+    for name, row in kinds.items():
+        kind = balancer.kinds.setdefault(name, Kind(1.0, balancer.recent_us))
+        _set_recent(kind, row, now, older)
+        kind.ahead = max(0.0, row[4])
+    _set_recent(balancer.late, late, now, older)
+    balancer.common_us = max(0.0, common_us)
+    count = 0
+    for name, row in servers.items():
+        server = balancer.servers.get(name)
+        if server is None or server.info.started_us != row[0] or server.stamp >= 0:
+            continue
+        server.estimate, server.mean, server.ahead = row[1], row[2], row[3]
+        server.stamp = max(0, now - older - int(row[4]))
+        server.heard_at = -1 if row[5] < 0 else max(0, now - older - int(row[5]))
+        count += 1
+    return count
+
+
+def _set_usual(item: Usual, row: list[float]) -> None:
+    item.value, item.count = row[0], int(max(0, row[1]))
+
+
+def _set_recent(item: Recent, row: list[float], now: int, older: int) -> None:
+    _set_usual(item.usual, row)
+    item.value = row[2]
+    item.stamp = max(0, now - older - int(row[3]))
--- a/clayscale/cli/main.py
+++ b/clayscale/cli/main.py
@@ -28,7 +28,8 @@
 
 @main.command()
 @FILE
-def serve(file: Path) -> None:
+@click.option("--replace", is_flag=True, help="Take over from the daemon that runs by FILE, without a gap.")
+def serve(file: Path, replace: bool) -> None:
     """Run the daemon that FILE describes, in the foreground.
 
     SIGHUP reads FILE again, SIGTERM drains and ends, SIGINT twice ends at once.
@@ -36,7 +37,7 @@
     from clayscale.daemon import supervisor
 
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
-    raise SystemExit(supervisor.serve(file, lambda line: click.echo(line, err=True)))
+    raise SystemExit(supervisor.serve(file, lambda line: click.echo(line, err=True), replace))
 
 
 @main.command()
--- a/clayscale/daemon/instance.py
+++ b/clayscale/daemon/instance.py
@@ -12,13 +12,15 @@
 import signal
 import socket
 import sys
+import time
 from typing import Any
 
+from aspentrail.learnt import Unusable, adopt, snapshot
 from clayscale.__main__ import Sparse
 from clayscale.agent import Agent, Source
 from clayscale.config import BadConfig, Config, parse
 from clayscale.daemon.channel import BadMessage, Message, receive, send
-from clayscale.messages import Address
+from clayscale.messages import Address, Update
 from clayscale.net import discovery
 from clayscale.net.budget import BodyBudget, Descriptors
 from clayscale.net.listener import Listener
@@ -60,6 +62,7 @@
         self._config: Config | None = None
         self._listeners: dict[Address, Listener] = {}
         self._wanted: set[Address] = set()
+        self._learnt: object = None  # a snapshot that waits for the list
         self._leaving: set[asyncio.Task[None]] = set()  # listeners that were moved away, while they end
         self._bodies: BodyBudget | None = None
         self.going_away = asyncio.Event()
@@ -89,6 +92,8 @@
                 self._take(message, sockets)
             case "commit":
                 self._settle()
+            case "learnt":
+                self._tell_learnt(message.get("id"))
             case "stop":
                 self.others = bool(message.get("others"))
                 self.going_away.set()
@@ -105,6 +110,7 @@
         try:
             config = parse(message["table"])
             if self._agent is None:
+                self._learnt = message.get("learnt")
                 self._begin(config, message["table"])
             else:
                 self._change(config, message["table"])
@@ -131,12 +137,39 @@
         self._agent = Agent(config, upstream, self._source)
         self._table, self._config = table, config
         self._agent.start()
+        if config.known.backends:
+            learnt, self._learnt = self._learnt, None
+            self._take_up(learnt)
         asyncio.get_running_loop().call_soon(self._beat)
 
+    def _take_up(self, text: object) -> None:
+        """What another program's instance has learnt, once the list is known: from the instance's terms, or
+        with the first word of the membership source."""
+        agent = self._agent
+        if agent is None or not isinstance(text, str):
+            return
+        try:
+            count = adopt(agent.balancer, text, agent.now(), time.time_ns() // 1000)
+        except Unusable as why:
+            log.warning("what was learnt before is not taken up: %s", why)
+            return
+        log.info("estimates of %d servers are taken up", count)
+
+    def _tell_learnt(self, number: object) -> None:
+        agent = self._agent
+        text = "" if agent is None else snapshot(agent.balancer, agent.now(), time.time_ns() // 1000)
+        send(self._channel, {"op": "learnt", "id": number, "text": text})
+
     def _source(self, config: Config, on_update: Any, on_failure: Any) -> Source:
+        def update(heard: Update) -> None:
+            on_update(heard)
+            learnt, self._learnt = self._learnt, None
+            if learnt is not None:  # a list is known now, so its servers can be told from others
+                self._take_up(learnt)
+
         if self._table.get("source") == "fixed":
-            return FixedList(config, on_update)
-        return discovery.watch(config, on_update, on_failure)
+            return FixedList(config, update)
+        return discovery.watch(config, update, on_failure)
 
     def _change(self, config: Config, table: Message) -> None:
         assert self._agent is not None
--- a/clayscale/daemon/supervisor.py
+++ b/clayscale/daemon/supervisor.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import logging
 import os
@@ -16,17 +15,18 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from aspentrail import supervision
 from aspentrail.supervision import Kill, Phase, Policy, Report, Start, Stop, Supervisor
-from clayscale.daemon.channel import BadMessage, Message, pair, receive, send
+from clayscale.daemon.channel import PACKET_MOST, BadMessage, Message, pair, receive, send
 from clayscale.daemon.configuration import TABLE_MOST, BadDocument, Document, instance_table, read
 from clayscale.daemon.control import Control
 from clayscale.daemon.notify import notify, passed_sockets
+from clayscale.daemon.takeover import Bequest, Heir, NoTakeover
 from clayscale.messages import Address
 from clayscale.net.listener import BACKLOG, GOING_AWAY_MORE_S, GOING_AWAY_S
 from clayscale.signals import ignore_from_here, on_signal
@@ -34,6 +34,8 @@
 log = logging.getLogger("clayscale.daemon")
 
 STOP_MORE_S = 1.0  # past the longest deadline and the listener's own time: a busy core, and the last steps
+TAKEOVER_WITHIN_S = 60.0  # for a new program to be ready; its own limit is shorter as a rule
+LEARNT_WITHIN_S = 1.0  # for an instance to tell what it has learnt
 ABORT_WITHIN_S = 2.0  # for owed requests to be answered as failed, when there is no time left
 
 
@@ -71,8 +73,17 @@
 class Daemon:
     """Sockets, processes, signals and the control socket of one fleet."""
 
-    def __init__(self, path: Path, document: Document) -> None:
+    def __init__(self, path: Path, document: Document, replace: bool = False) -> None:
+        """`replace`: take over from the daemon that runs by the same control socket."""
         self._path = path
+        self._heir = Heir(document.control) if replace else None
+        self._learnt: dict[str, str] = {}
+        self._control: Control | None = None
+        self._bequest: Bequest | None = None
+        self._released = False  # another program accepts from here on
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self.failure: str | None = None
+        self._bequest_timer: asyncio.TimerHandle | None = None
         self._document = document
         self._generation = 0
         self._sockets: dict[Address, socket.socket] = {}
@@ -92,27 +103,160 @@
 
     async def run(self) -> None:
         """Until it is told to stop and every instance has ended. Raises CannotStart."""
+        if self._heir is not None:
+            await self._inherit(self._heir)
         self._open(passed_sockets(os.environ))
-        try:
-            self._control = Control(self._document.control, self._handle)
-        except OSError as fault:
-            raise CannotStart(f"[daemon] control: {self._document.control}: {fault.strerror}") from None
-        await self._control.start()
+        if self._heir is None:
+            await self._start_control()
         on_signal(signal.SIGTERM, self.stop)
         on_signal(signal.SIGINT, self._interrupt)
         on_signal(signal.SIGHUP, self._reload_by_signal)
         try:
             self._do(self._decide.start(_now()))
+            if self._heir is not None:
+                self._spawn(self._succeed(self._heir))
             await self._ended.wait()
         finally:
             for run in self._runs.values():
                 run.process.kill()
-            if self._reload_task is not None:
-                self._reload_task.cancel()
-            await self._control.close()
+            for task in [*self._tasks, *([self._reload_task] if self._reload_task else [])]:
+                task.cancel()
+            if self._heir is not None:
+                self._heir.close()
+            self._drop_bequest()
+            if self._control is not None:
+                await self._control.close()
             self._close_sockets(list(self._sockets))
             ignore_from_here(signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
 
+    async def _start_control(self) -> None:
+        try:
+            self._control = Control(self._document.control, self._handle)
+        except OSError as fault:
+            raise CannotStart(f"[daemon] control: {self._document.control}: {fault.strerror}") from None
+        await self._control.start()
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # Replacement
+
+    async def _inherit(self, heir: Heir) -> None:
+        """The new program's first step: the old one's sockets and estimates."""
+        try:
+            estate = await heir.ask()
+        except NoTakeover as fault:
+            raise CannotStart(f"[daemon] control: {self._document.control}: {fault}") from None
+        self._learnt = estate.learnt
+        for address, sock in estate.sockets.items():
+            if address in self._document.addresses.values():
+                self._sockets[address] = sock
+            else:
+                sock.close()
+
+    async def _succeed(self, heir: Heir) -> None:
+        """Wait until all instances are ready, then have the old program drain. Too late, or if that program
+        is told to stop meanwhile, this one ends and the old one goes on as it was."""
+        until = time.monotonic() + self._document.daemon["start_within_ms"] / 1e3
+        why = None
+        while why is None and not self._all_ready:
+            if time.monotonic() > until:
+                why = "not all instances became ready in time"
+            await asyncio.sleep(0.01)
+            why = why or heir.gone()
+        if why is not None:
+            self.failure = why
+            log.warning("the replacement is off: %s", why)
+            self._released = True  # the old program's instances go on accepting
+            self.stop()
+            return
+        if not await heir.ready():
+            log.warning("the program before did not say that it drains")
+        heir.close()
+        self._heir = None
+        self._learnt = {}
+        try:
+            await self._start_control()
+        except CannotStart as fault:
+            log.error("%s", fault)
+        self._tell_ready()
+
+    async def _bequeath(self, to: str) -> Message:
+        """The old program's side: send what there is, then wait for the new one in a task."""
+        if self._bequest is not None:
+            return {"ok": False, "faults": ["another replacement is under way"]}
+        if self._decide.stopping or self._reloading.locked():
+            return {"ok": False, "faults": ["the daemon is stopping or reloading"]}
+        try:
+            bequest = self._bequest = Bequest(to)
+        except OSError as fault:
+            return {"ok": False, "faults": [f"the new program's socket: {fault.strerror}"]}
+        self._spawn(self._give_all(bequest))
+        return {"ok": True}
+
+    async def _give_all(self, bequest: Bequest) -> None:
+        runs = dict(self._runs)
+        texts = await asyncio.gather(*map(self._learnt_of, runs.values()))
+        learnt = dict(zip(runs, texts, strict=True))
+        if self._bequest is not bequest:
+            return
+        if not bequest.give(self._sockets, {name: text for name, text in learnt.items() if text}):
+            self._drop_bequest()
+            return
+        loop = asyncio.get_running_loop()
+        loop.add_reader(bequest.sock.fileno(), self._heir_said)
+        self._bequest_timer = loop.call_later(TAKEOVER_WITHIN_S, self._drop_bequest)
+
+    async def _learnt_of(self, run: _Run) -> str:
+        """What this instance has learnt; empty if it does not say so in time."""
+        self._asked += 1
+        number = self._asked
+        answer = run.taken[number] = asyncio.get_running_loop().create_future()
+        try:
+            send(run.channel, {"op": "learnt", "id": number})
+            async with asyncio.timeout(LEARNT_WITHIN_S):
+                return await answer or ""
+        except (TimeoutError, asyncio.CancelledError):
+            return ""
+        finally:
+            run.taken.pop(number, None)
+
+    def _heir_said(self) -> None:
+        bequest = self._bequest
+        if bequest is None:
+            return
+        try:
+            word = bequest.heard()
+        except BlockingIOError:
+            return
+        if word is None:
+            log.warning("the replacement ended before it was ready; nothing has changed")
+            self._drop_bequest()
+        elif word.get("op") == "ready" and not self._decide.stopping:
+            self._spawn(self._release(bequest))
+
+    async def _release(self, bequest: Bequest) -> None:
+        """The new program accepts: let go of the control socket, and drain."""
+        self._released = True
+        control, self._control = self._control, None
+        if control is not None:
+            await control.close()
+        send(bequest.sock, {"op": "released"})
+        self._drop_bequest()
+        log.info("replaced by another program; draining")
+        self.stop()
+
+    def _drop_bequest(self) -> None:
+        bequest, self._bequest = self._bequest, None
+        if bequest is not None:
+            asyncio.get_running_loop().remove_reader(bequest.sock.fileno())
+            bequest.close()
+        if self._bequest_timer is not None:
+            self._bequest_timer.cancel()
+            self._bequest_timer = None
+
     def _open(self, passed: list[tuple[str, socket.socket]]) -> None:
         """The sockets of all listeners, those that the service manager has passed first."""
         for name, sock in passed:
@@ -144,7 +288,12 @@
         """Drain and end. Told again, it changes nothing."""
         if self._decide.stopping:
             return
-        notify(os.environ, "STOPPING=1")
+        if not self._released:
+            notify(os.environ, "STOPPING=1")
+        if self._bequest is not None:
+            # Risk: told to stop in the middle of a replacement, the new program would go on in its place.
+            send(self._bequest.sock, {"op": "off", "why": "the running program was told to stop"})
+            self._drop_bequest()
         log.info("stopping")
         if self._reload_task is not None:
             self._reload_task.cancel()
@@ -176,7 +325,8 @@
                 case Stop(name, number):
                     run = self._run_of(name, number)
                     if run is not None:
-                        send(run.channel, {"op": "stop", "others": not self._decide.stopping})
+                        others = self._released or not self._decide.stopping
+                        send(run.channel, {"op": "stop", "others": others})
                 case Kill(name, number, _):
                     run = self._run_of(name, number)
                     if run is not None:
@@ -196,11 +346,18 @@
         if at is not None:
             delay = max(0.0, (at - _now()) / 1e6)
             self._timer = asyncio.get_running_loop().call_later(delay, self._on_time)
-        ready = self._decide.ready
-        if not self._was_ready and len(ready) == len(self._document.names):
-            self._was_ready = True
-            notify(os.environ, "READY=1", f"STATUS={len(ready)} instances are ready")
-            log.info("ready after %.3f s: %d instances", time.monotonic() - self._began, len(ready))
+        if not self._was_ready and self._all_ready and self._heir is None:
+            self._tell_ready()
+
+    @property
+    def _all_ready(self) -> bool:
+        return len(self._decide.ready) == len(self._document.names)
+
+    def _tell_ready(self) -> None:
+        self._was_ready = True
+        count = len(self._decide.ready)
+        notify(os.environ, f"MAINPID={os.getpid()}", "READY=1", f"STATUS={count} instances are ready")
+        log.info("ready after %.3f s: %d instances", time.monotonic() - self._began, count)
 
     def _on_time(self) -> None:
         self._do(self._decide.on_time(_now()))
@@ -248,7 +405,13 @@
     ) -> bool:
         table = instance_table(document, document.names.index(name))
         listed = [sockets[address].fileno() for address in document.addresses.values() if address in sockets]
-        return send(run.channel, {"op": op, "id": number, "table": table}, listed)
+        message = {"op": op, "id": number, "table": table}
+        if op == "start" and name in self._learnt:
+            # A message holds so much. Harm: beside a very long list, what was learnt is left out.
+            learnt = {**message, "learnt": self._learnt[name]}
+            if len(json.dumps(learnt)) <= PACKET_MOST:
+                message = learnt
+        return send(run.channel, message, listed)
 
     def _on_taken_start(self, name: str, run: _Run, done: asyncio.Future[str | None]) -> None:
         if done.cancelled():
@@ -282,6 +445,10 @@
         if message.get("op") == "beat" and isinstance(message.get("figures"), dict):
             run.figures = message["figures"]
             self._do(self._decide.on_beat(name, run.number, _now()))
+        elif message.get("op") == "learnt":
+            learnt = run.taken.pop(message.get("id", 0), None)
+            if learnt is not None and not learnt.done():
+                learnt.set_result(str(message.get("text", "")))
         elif message.get("op") == "taken":
             future = run.taken.pop(message.get("id", 0), None)
             if future is not None and not future.done():
@@ -312,8 +479,8 @@
 
     async def reload(self) -> Message:
         """Put the file in force, at every instance or at none. One at a time; one more may wait."""
-        if self._decide.stopping:
-            return {"ok": False, "faults": ["the daemon is stopping"]}
+        if self._decide.stopping or self._bequest is not None or self._heir is not None:
+            return {"ok": False, "faults": ["the daemon is stopping, or being replaced"]}
         if self._reload_waits:
             return {"ok": False, "faults": ["another reload waits already"]}
         self._reload_waits = True
@@ -436,6 +603,8 @@
                     return {"ok": False, "faults": [f"there is no instance {str(name)[:64]!r}"]}
                 self._do(self._decide.on_drain(name, _now(), self._stop_within_us))
                 return {"ok": True}
+            case "takeover" if isinstance(message.get("to"), str):
+                return await self._bequeath(message["to"])
             case "stop":
                 asyncio.get_running_loop().call_soon(self.stop)
                 return {"ok": True}
@@ -461,6 +630,7 @@
             "generation": self._generation,
             "stopping": self._decide.stopping,
             "reloading": self._reloading.locked(),
+            "replacing": self._bequest is not None,
             "listeners": {
                 name: "{}:{}".format(*address) for name, address in self._document.addresses.items()
             },
@@ -478,9 +648,10 @@
     return sock
 
 
-def serve(path: Path, tell: Callable[[str], None]) -> int:
-    """Run the daemon that the file describes. Returns its exit code: 0, or 2 for a start that cannot be made,
-    after one line a fault to `tell`."""
+def serve(path: Path, tell: Callable[[str], None], replace: bool = False) -> int:
+    """Run the daemon that the file describes, in place of the one that runs if `replace`. Returns its exit
+    code: 0; 1 for a replacement that is off; 2 for a start that cannot be made, after one line a fault to
+    `tell`."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     try:
         document = read(path)
@@ -489,13 +660,15 @@
             tell(line)
         return 2
 
-    async def run() -> None:
-        await Daemon(path, document).run()
+    async def run() -> int:
+        daemon = Daemon(path, document, replace)
+        await daemon.run()
+        return 0 if daemon.failure is None else 1
 
     try:
-        with contextlib.suppress(KeyboardInterrupt):
-            asyncio.run(run())
+        return asyncio.run(run())
+    except KeyboardInterrupt:  # before there was anything to stop
+        return 130
     except CannotStart as fault:
         tell(f"{path}: {fault}")
         return 2
-    return 0
