--- a/clayscale/cli/main.py
+++ b/clayscale/cli/main.py
@@ -149,6 +149,7 @@
     if as_json:
         click.echo(json.dumps(figures))
     else:
+        click.echo()
         for name in ("offered", "served", "refused", "failed", "lost", "doubled", "late_drains",
                      "cold_overruns", "p50_ms", "p99_ms", "longest_gap_ms"):  # fmt: skip
             click.echo(f"{name:>15}  {figures[name]}")
--- a/clayscale/daemon/supervisor.py
+++ b/clayscale/daemon/supervisor.py
@@ -76,6 +76,7 @@
     def __init__(self, path: Path, document: Document, replace: bool = False) -> None:
         """`replace`: take over from the daemon that runs by the same control socket."""
         self._path = path
+        self._replaces = replace
         self._heir = Heir(document.control) if replace else None
         self._learnt: dict[str, str] = {}
         self._control: Control | None = None
@@ -356,7 +357,10 @@
     def _tell_ready(self) -> None:
         self._was_ready = True
         count = len(self._decide.ready)
-        notify(os.environ, f"MAINPID={os.getpid()}", "READY=1", f"STATUS={count} instances are ready")
+        states = ["READY=1", f"STATUS={count} instances are ready"]
+        if self._replaces:
+            states.append(f"MAINPID={os.getpid()}")
+        notify(os.environ, *states)
         log.info("ready after %.3f s: %d instances", time.monotonic() - self._began, count)
 
     def _on_time(self) -> None:
--- a/clayscale/messages.py
+++ b/clayscale/messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from aspentrail import interface as api
 
@@ -13,20 +13,18 @@
 
 @dataclass(slots=True)
 class Call:
-    """A client's request, read to its last byte: what the module is told, and what backends are sent."""
+    """A client's request, read to its last byte: what the module is told, and what backends are sent. The
+    payload is opaque to the agent: a front made it, and the upstream of the same protocol reads it."""
 
     client_id: bytes
     class_name: str
     budget_us: int
-    method: bytes
-    target: bytes
-    headers: Headers  # the end-to-end ones that go on unchanged
+    payload: Any
     key: str = ""
     tenant: str = ""
     cost_hint_us: int = 0
     is_retry: bool = False
     repeatable: bool = False  # a second execution does no harm, or is dropped
-    body: bytearray = field(default_factory=bytearray)
 
 
 class Refused(NamedTuple):
--- a/clayscale/net/http.py
+++ b/clayscale/net/http.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 
 import h11
 
@@ -173,6 +174,16 @@
             self.sock.close()
 
 
+@dataclass(slots=True)
+class Payload:
+    """What of a request is HTTP's alone and goes on to a backend."""
+
+    method: bytes
+    target: bytes
+    headers: Headers  # the end-to-end ones that go on unchanged
+    body: bytearray = field(default_factory=bytearray)
+
+
 def frame(parser: h11.Connection, *events: h11.Event) -> bytes:
     """What these events are on the wire."""
     return b"".join(parser.send(event) or b"" for event in events)
--- a/clayscale/net/listener.py
+++ b/clayscale/net/listener.py
@@ -21,7 +21,7 @@
 from clayscale.agent import Agent, Held
 from clayscale.messages import Address, Answer, Call, Final, Headers, Refused
 from clayscale.net.budget import BODY_MOST, BodyBudget, BodyShare, Descriptors
-from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, PIECES_IN_A_ROW, Wire, end_to_end, frame
+from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, PIECES_IN_A_ROW, Payload, Wire, end_to_end, frame
 
 log = logging.getLogger(__name__)
 
@@ -416,7 +416,7 @@
             if len(self._turns) >= PIPELINE_MOST:
                 raise BadRequest(429, "too many requests at once on one connection")
             call = None if _path(head) == READY else parse_call(head, self._agent)
-            body = call.body if call else bytearray()
+            body = call.payload.body if call else bytearray()
             share = self._share = self._listener.bodies.share()
             await self._read_body(parser, head, body, share)
         except h11.RemoteProtocolError as fault:
@@ -656,9 +656,11 @@
         class_name=class_name,
         # Risk: a time without end would hold the request, its body and its attempts as long.
         budget_us=min(int(float(budget[1]) * BUDGET_UNITS_US[budget[2]]), cls.deadline_us),
-        method=head.method,
-        target=head.target,
-        headers=[(name, value) for name, value in end_to_end(head.headers) if name != b"x-budget"],
+        payload=Payload(
+            head.method,
+            head.target,
+            [(name, value) for name, value in end_to_end(head.headers) if name != b"x-budget"],
+        ),
         key=keys[0],
         tenant=(fields.get(b"x-caller") or b"").decode("latin-1"),
         cost_hint_us=int(cost) if cost.isdigit() and len(cost) <= 12 else 0,
--- a/clayscale/net/upstream.py
+++ b/clayscale/net/upstream.py
@@ -20,7 +20,15 @@
 from clayscale.config import Config
 from clayscale.messages import Address, Answer, Call, Ended
 from clayscale.net.budget import BODY_MOST, Descriptors
-from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, PIECES_IN_A_ROW, SEND_BYTES, Wire, end_to_end
+from clayscale.net.http import (
+    HEAD_MOST,
+    KERNEL_BUFFER,
+    PIECES_IN_A_ROW,
+    SEND_BYTES,
+    Payload,
+    Wire,
+    end_to_end,
+)
 
 log = logging.getLogger(__name__)
 
@@ -248,16 +256,16 @@
 
     def _frame(self, parser: h11.Connection) -> bytes:
         """The request as it goes out. In one piece: each call to the kernel costs as much as framing does."""
-        call = self._call
-        headers = [*call.headers, (b"X-Budget", b"%du" % self._timeout_us)]
-        if call.body or call.method != b"GET":
-            headers.append((b"Content-Length", b"%d" % len(call.body)))
-        head = parser.send(h11.Request(method=call.method, target=call.target, headers=headers))
+        payload: Payload = self._call.payload
+        headers = [*payload.headers, (b"X-Budget", b"%du" % self._timeout_us)]
+        if payload.body or payload.method != b"GET":
+            headers.append((b"Content-Length", b"%d" % len(payload.body)))
+        head = parser.send(h11.Request(method=payload.method, target=payload.target, headers=headers))
         assert head is not None
-        if call.body:
-            parser.send_with_data_passthrough(h11.Data(data=memoryview(call.body)))  # type: ignore[arg-type]
+        if payload.body:
+            parser.send_with_data_passthrough(h11.Data(data=memoryview(payload.body)))  # type: ignore[arg-type]
         parser.send(h11.EndOfMessage())
-        return head + call.body
+        return head + payload.body
 
     async def _write(self, wire: Wire, data: bytes, rested: bool, at_once: bool) -> None:
         """Risk: a connection that rested, or is reset as soon as it is up, takes the whole request before the
--- a/tests/daemon/test_fleet.py
+++ b/tests/daemon/test_fleet.py
@@ -426,3 +426,24 @@
     assert "clayscale.net.listener" in loaded
     extras = ("clayscale.daemon", "clayscale.cli", "standins", "click", "rich", "aspentrail.supervision")
     assert not [name for name in loaded if name.startswith(extras)]
+
+
+def test_a_hung_instance_is_replaced_and_the_rest_is_left_alone(tmp_path: Path) -> None:
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with fleet(tmp_path, backend) as made:
+            made.write(hang_after_ms=2_000)
+            assert (await made.ask("reload"))["ok"]
+            before = await made.ready()
+            os.kill(before["i0"]["pid"], signal.SIGSTOP)
+            async with asyncio.timeout(PATIENCE_S):
+                while (await made.status())["i0"]["run"] < 2:
+                    await asyncio.sleep(0.02)
+            after = await made.ready()
+            assert after["i1"]["pid"] == before["i1"]["pid"]
+            client = await connect(made.address)
+            client.send(request("a", "pay"))
+            assert (await client.answer())[0] == 200
+        assert "i0 killed: it gave no sign of life in time" in made.log.read_text()
+
+    asyncio.run(play())
--- a/tests/net/test_closing.py
+++ b/tests/net/test_closing.py
@@ -21,7 +21,7 @@
 from clayscale.messages import Call
 from clayscale.net import listener
 from clayscale.net.budget import Descriptors
-from clayscale.net.http import Wire
+from clayscale.net.http import Payload, Wire
 from clayscale.net.upstream import Upstream
 from standins.crowd import Peer
 from tests.loopback import PATIENCE_S, Backend, World, answer, request, table, world
@@ -232,7 +232,8 @@
         with socket.create_server(("127.0.0.1", 0)) as server:
             server.setblocking(False)
             upstream = Upstream(8, 30_000_000, 250_000)
-            call = Call(b"a", "pay", 1_000_000, b"POST", b"/pay", [(b"Host", b"a")], body=bytearray(b"x"))
+            payload = Payload(b"POST", b"/pay", [(b"Host", b"a")], bytearray(b"x"))
+            call = Call(b"a", "pay", 1_000_000, payload)
             attempt = asyncio.create_task(upstream.attempt(call, server.getsockname(), 300_000, lambda: True))
             sock, _ = await loop.sock_accept(server)
             seen = b""
