At a stop look once more with the sending side shut; CPU a request measured in pairs

Need: what crosses the end of a resting connection is left unread and reset, whatever came between the look and the close; a test makes a request cross just there. benchmarks.request_cpu starts two trees in turn.

--- /dev/null
+++ b/benchmarks/request_cpu.py
@@ -0,0 +1,86 @@
+"""CPU a request of the platform's program, of two trees in turn.
+
+    .venv/bin/python -m benchmarks.request_cpu TREE [TREE ...] --requests 4000 --rounds 3
+
+Each round starts the program of each tree anew and asks over kept connections; CPU is user and system time of
+the process after the first 500 answers, in microseconds a request. Prints one JSON object.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import statistics
+import sys
+import tempfile
+from pathlib import Path
+
+from standins.crowd import Crowd
+from standins.http1 import Backend, Registry, answer, connect, member, table
+from tests.test_process import free_address
+
+
+def cpu_us(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) * 1e6 / os.sysconf("SC_CLK_TCK")
+
+
+async def once(tree: str, requests: int, clients: int) -> float:
+    backends = [await Backend(answer(b"served")).start() for _ in range(4)]
+    registry = await Registry().start()
+    address = free_address()
+    members = [member(f"b{at}", backend.address) for at, backend in enumerate(backends)]
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        json.dump(table(registry.address, members), file)
+        file.flush()
+        environ = {
+            **os.environ, "BALANCER_CONFIG": file.name, "BALANCER_DISCOVERY": registry.address,
+            "BALANCER_LISTEN": "{}:{}".format(*address),
+        }  # fmt: skip
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "clayscale", cwd=tree, env=environ, stderr=asyncio.subprocess.DEVNULL
+        )
+        try:
+            while True:
+                try:
+                    (await connect(address)).close()
+                    break
+                except OSError:
+                    await asyncio.sleep(0.02)
+            crowd = Crowd(address, clients, 0.01)
+            await crowd.more(500)
+            before, at = cpu_us(process.pid), crowd.answered
+            await crowd.more(requests)
+            used = (cpu_us(process.pid) - before) / (crowd.answered - at)
+            await crowd.stop()
+            return used
+        finally:
+            process.kill()
+            await process.wait()
+            registry.stop()
+            for backend in backends:
+                backend.stop()
+
+
+async def run(words: argparse.Namespace) -> dict[str, dict[str, float | list[float]]]:
+    found: dict[str, list[float]] = {tree: [] for tree in words.trees}
+    for _ in range(words.rounds):
+        for tree in words.trees:
+            found[tree].append(round(await once(tree, words.requests, words.clients), 1))
+    return {tree: {"median_us": statistics.median(all_), "us": all_} for tree, all_ in found.items()}
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("trees", nargs="+")
+    parser.add_argument("--requests", type=int, default=4_000)
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--clients", type=int, default=20)
+    print(json.dumps(asyncio.run(run(parser.parse_args())), indent=1))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/clayscale/net/listener.py
+++ b/clayscale/net/listener.py
@@ -340,7 +340,13 @@
         owed = bool(self._turns) or (self._begun and not self._answered_last)
         if owed or not self.wire.quiet():
             return False
-        self.wire.close()
+        crossed = False
+        if self._listener.closing:
+            # Looked at once more with the sending side shut: what came before the client could know of the
+            # end is left unread, and reset, so that the client asks again.
+            self.wire.shutdown(socket.SHUT_WR)
+            crossed = not self.wire.quiet()
+        self.wire.close(abort=crossed)
         self.cancel()
         self._listener.ended(self)
         return True
--- a/tests/net/test_closing.py
+++ b/tests/net/test_closing.py
@@ -199,6 +199,35 @@
     asyncio.run(play())
 
 
+def test_what_crosses_the_end_of_a_resting_connection_is_reset_and_not_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It comes between the look and the close, as the end is on its way to the client."""
+    monkeypatch.setattr(listener, "GOING_AWAY_S", 0.0)
+    shutdown = Wire.shutdown
+
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with closable(backend) as made:
+            peer = Peer(made.listener.address)
+            peer.send(request("first"))
+            assert await peer.answer() == b"HTTP/1.1 200 "
+
+            def crossing(wire: Wire, how: int) -> None:
+                shutdown(wire, how)
+                if how == socket.SHUT_WR:
+                    peer.send(request("crossing", "pay"))
+
+            monkeypatch.setattr(Wire, "shutdown", crossing)
+            closing = asyncio.create_task(made.listener.close())
+            assert await peer.answer() == b"reset"
+            await asyncio.wait_for(closing, PATIENCE_S)
+            assert len(backend.seen) == 1
+            peer.close()
+
+    asyncio.run(play())
+
+
 def test_what_a_cancelled_read_has_taken_is_had_by_the_next() -> None:
     async def play() -> None:
         for count in range(6):
