A stop in the middle of a reload does not send instances back to closed sockets

Now a stopping daemon sends nothing back, and an instance that is going away takes no further terms. Measured: the tests of stops and reloads, three times on two cores, all passed.

--- a/clayscale/daemon/instance.py
+++ b/clayscale/daemon/instance.py
@@ -88,6 +88,10 @@
         message, descriptors = got
         sockets = [socket.socket(fileno=descriptor) for descriptor in descriptors]
         match message.get("op"):
+            case "start" | "reload" | "commit" if self.going_away.is_set():
+                # Risk: listeners that are being closed would be closed again, or opened.
+                for sock in sockets:
+                    sock.close()
             case "start" | "reload":
                 self._take(message, sockets)
             case "commit":
--- a/clayscale/daemon/supervisor.py
+++ b/clayscale/daemon/supervisor.py
@@ -573,6 +573,8 @@
             run.taken.pop(number, None)
 
     def _go_back(self, names: list[str]) -> None:
+        if self._decide.stopping:
+            return  # the sockets are closed by now, and the instances drain by whichever file they have
         for name in names:
             run = self._runs.get(name)
             if run is not None:
