One package, sorrelfront, with rooms: everything moved, nothing else changed

Two names, aspentrail and clayscale, told a reader nothing, standins was installed as a top-level module of every environment, and five subsystems are about to be built on the layout.

--- a/benchmarks/daemon.py
+++ b/benchmarks/daemon.py
@@ -19,9 +19,9 @@
 from pathlib import Path
 from typing import Any
 
-from standins.crowd import LOST, Crowd
-from standins.http1 import Registry, member
-from standins.shop import Book, Server
+from sorrelfront.lab.crowd import LOST, Crowd
+from sorrelfront.lab.http1 import Registry, member
+from sorrelfront.lab.shop import Book, Server
 from tests.daemon.fleet import Fleet
 from tests.daemon.test_replacement import answers_as, replacement
 
--- a/benchmarks/request_cpu.py
+++ b/benchmarks/request_cpu.py
@@ -17,8 +17,8 @@
 import tempfile
 from pathlib import Path
 
-from standins.crowd import Crowd
-from standins.http1 import Backend, Registry, answer, connect, member, table
+from sorrelfront.lab.crowd import Crowd
+from sorrelfront.lab.http1 import Backend, Registry, answer, connect, member, table
 from tests.test_process import free_address
 
 
@@ -39,8 +39,9 @@
             **os.environ, "BALANCER_CONFIG": file.name, "BALANCER_DISCOVERY": registry.address,
             "BALANCER_LISTEN": "{}:{}".format(*address),
         }  # fmt: skip
+        program = "sorrelfront.platform" if Path(tree, "sorrelfront").is_dir() else "clayscale"  # as it was
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "clayscale", cwd=tree, env=environ, stderr=asyncio.subprocess.DEVNULL
+            sys.executable, "-m", program, cwd=tree, env=environ, stderr=asyncio.subprocess.DEVNULL
         )
         try:
             while True:
--- a/clayscale/agent.py
+++ b/sorrelfront/agent.py
@@ -8,11 +8,11 @@
 from collections.abc import Callable
 from typing import Protocol, TypeVar
 
-from aspentrail import interface as api
-from aspentrail.rules import Balancer
-from clayscale.config import Config
-from clayscale.membership import Directory
-from clayscale.messages import Address, Call, Ended, Failed, Final, Refused, Update
+from sorrelfront.decisions import interface as api
+from sorrelfront.decisions.balancer import Balancer
+from sorrelfront.lists import Directory
+from sorrelfront.messages import Address, Call, Ended, Failed, Final, Refused, Update
+from sorrelfront.platform.config import Config
 
 log = logging.getLogger(__name__)
 
--- a/clayscale/cli/main.py
+++ b/sorrelfront/cli/main.py
@@ -12,8 +12,8 @@
 from rich.console import Console
 from rich.table import Table
 
-from clayscale.daemon import control
-from clayscale.daemon.configuration import BadDocument, read
+from sorrelfront.daemon import control
+from sorrelfront.daemon.configuration import BadDocument, read
 
 FILE = click.argument("file", type=click.Path(path_type=Path))
 JSON = click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
@@ -34,7 +34,7 @@
 
     SIGHUP reads FILE again, SIGTERM drains and ends, SIGINT twice ends at once.
     """
-    from clayscale.daemon import supervisor
+    from sorrelfront.daemon import supervisor
 
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     raise SystemExit(supervisor.serve(file, lambda line: click.echo(line, err=True), replace))
@@ -139,7 +139,7 @@
 @JSON
 def demo(seconds: float, instances: int, seed: int, as_json: bool) -> None:
     """Play a daemon between stand-in servers in trouble; exit code 1 if a rule was broken."""
-    from clayscale.cli import demo as played
+    from sorrelfront.lab import demo as played
 
     try:
         figures = played.play(seconds, instances, seed, quiet=as_json)
--- a/clayscale/daemon/configuration.py
+++ b/sorrelfront/daemon/configuration.py
@@ -1,7 +1,7 @@
 """The daemon's file: TOML, checked whole. Every fault is told in one go, with its table and key.
 
 A `Document` is what a good file says. `instance_table` words it for one instance in the form that
-`clayscale.config.parse` reads, so that both programs take their terms through one door.
+`sorrelfront.platform.config.parse` reads, so that both programs take their terms through one door.
 """
 
 from __future__ import annotations
@@ -14,8 +14,8 @@
 from pathlib import Path
 from typing import Any
 
-from clayscale.membership import Malformed, parse_address
-from clayscale.messages import Address
+from sorrelfront.lists import Malformed, parse_address
+from sorrelfront.messages import Address
 
 FILE_MOST = 1024 * 1024  # bytes; some thousand servers in a fixed list
 TABLE_MOST = 96 * 1024  # bytes of one instance's terms as JSON: they go over a socket in one message
@@ -324,7 +324,7 @@
 
 
 def instance_table(document: Document, number: int) -> dict[str, Any]:
-    """The terms of one instance, in the form that `clayscale.config.parse` reads."""
+    """The terms of one instance, in the form that `sorrelfront.platform.config.parse` reads."""
     daemon, membership, limits, rules = (
         document.daemon, document.membership, document.limits, document.rules,
     )  # fmt: skip
--- a/clayscale/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -1,6 +1,6 @@
 """One instance: a process with one balancer, told by its supervisor over a channel what to do.
 
-`python -m clayscale.daemon.instance FD NAME`, started by the supervisor alone. When the channel ends, the
+`python -m sorrelfront.daemon.instance FD NAME`, started by the supervisor alone. When the channel ends, the
 supervisor is gone: the instance finishes what it owes and ends. Risk: an orphan serves on by old terms.
 """
 
@@ -15,19 +15,19 @@
 import time
 from typing import Any
 
-from aspentrail.learnt import Unusable, adopt, snapshot
-from clayscale.__main__ import Sparse
-from clayscale.agent import Agent, Source
-from clayscale.config import BadConfig, Config, parse
-from clayscale.daemon.channel import BadMessage, Message, receive, send
-from clayscale.messages import Address, Update
-from clayscale.net import discovery
-from clayscale.net.budget import BodyBudget, Descriptors
-from clayscale.net.listener import Listener
-from clayscale.net.upstream import Upstream
-from clayscale.signals import ignore_from_here, on_signal
+from sorrelfront.agent import Agent, Source
+from sorrelfront.daemon.channel import BadMessage, Message, receive, send
+from sorrelfront.decisions.learnt import Unusable, adopt, snapshot
+from sorrelfront.fronts.http1 import Listener
+from sorrelfront.messages import Address, Update
+from sorrelfront.net.budget import BodyBudget, Descriptors
+from sorrelfront.platform.__main__ import Sparse
+from sorrelfront.platform.config import BadConfig, Config, parse
+from sorrelfront.signals import ignore_from_here, on_signal
+from sorrelfront.sources import registry
+from sorrelfront.upstreams.http1 import Upstream
 
-log = logging.getLogger("clayscale.instance")
+log = logging.getLogger("sorrelfront.instance")
 
 BEAT_S = 0.25  # between signs of life, each with the figures for status
 FLUSH_S = 0.3  # for answers to leave, when all that is owed has been failed
@@ -173,7 +173,7 @@
 
         if self._table.get("source") == "fixed":
             return FixedList(config, update)
-        return discovery.watch(config, update, on_failure)
+        return registry.watch(config, update, on_failure)
 
     def _change(self, config: Config, table: Message) -> None:
         assert self._agent is not None
--- a/clayscale/daemon/supervisor.py
+++ b/sorrelfront/daemon/supervisor.py
@@ -20,18 +20,18 @@
 from pathlib import Path
 from typing import Any
 
-from aspentrail import supervision
-from aspentrail.supervision import Kill, Phase, Policy, Report, Start, Stop, Supervisor
-from clayscale.daemon.channel import PACKET_MOST, BadMessage, Message, pair, receive, send
-from clayscale.daemon.configuration import TABLE_MOST, BadDocument, Document, instance_table, read
-from clayscale.daemon.control import Control
-from clayscale.daemon.notify import notify, passed_sockets
-from clayscale.daemon.takeover import Bequest, Heir, NoTakeover
-from clayscale.messages import Address
-from clayscale.net.listener import BACKLOG, GOING_AWAY_MORE_S, GOING_AWAY_S
-from clayscale.signals import ignore_from_here, on_signal
-
-log = logging.getLogger("clayscale.daemon")
+from sorrelfront.daemon.channel import PACKET_MOST, BadMessage, Message, pair, receive, send
+from sorrelfront.daemon.configuration import TABLE_MOST, BadDocument, Document, instance_table, read
+from sorrelfront.daemon.control import Control
+from sorrelfront.daemon.notify import notify, passed_sockets
+from sorrelfront.daemon.takeover import Bequest, Heir, NoTakeover
+from sorrelfront.decisions import supervision
+from sorrelfront.decisions.supervision import Kill, Phase, Policy, Report, Start, Stop, Supervisor
+from sorrelfront.fronts.http1 import BACKLOG, GOING_AWAY_MORE_S, GOING_AWAY_S
+from sorrelfront.messages import Address
+from sorrelfront.signals import ignore_from_here, on_signal
+
+log = logging.getLogger("sorrelfront.daemon")
 
 STOP_MORE_S = 1.0  # past the longest deadline and the listener's own time: a busy core, and the last steps
 TAKEOVER_WITHIN_S = 60.0  # for a new program to be ready; its own limit is shorter as a rule
@@ -374,7 +374,7 @@
         ours, theirs = pair()
         try:
             process = subprocess.Popen(
-                [sys.executable, "-m", "clayscale.daemon.instance", str(theirs.fileno()), name],
+                [sys.executable, "-m", "sorrelfront.daemon.instance", str(theirs.fileno()), name],
                 pass_fds=[theirs.fileno()],
                 stdin=subprocess.DEVNULL,
             )
--- a/clayscale/daemon/takeover.py
+++ b/sorrelfront/daemon/takeover.py
@@ -16,9 +16,9 @@
 from pathlib import Path
 from typing import Any
 
-from clayscale.daemon import control
-from clayscale.daemon.channel import BadMessage, Message, receive, send
-from clayscale.messages import Address
+from sorrelfront.daemon import control
+from sorrelfront.daemon.channel import BadMessage, Message, receive, send
+from sorrelfront.messages import Address
 
 ANSWER_WITHIN_S = 10.0  # for the old program to send what it has, or to let go
 PACKETS_MOST = 512  # one an instance, and the sockets
--- a/aspentrail/rules.py
+++ b/sorrelfront/decisions/balancer.py
@@ -11,7 +11,7 @@
 from math import exp
 from random import Random
 
-from aspentrail import interface as api
+from sorrelfront.decisions import interface as api
 
 # Latencies are kept as multiples of what is usual for the request's class and cost hint, so none of these
 # is in units of one deployment.
--- a/aspentrail/learnt.py
+++ b/sorrelfront/decisions/learnt.py
@@ -12,7 +12,7 @@
 from math import isfinite
 from typing import Any
 
-from aspentrail.rules import Balancer, Kind, Recent, Usual
+from sorrelfront.decisions.balancer import Balancer, Kind, Recent, Usual
 
 VERSION = 1
 SERVERS_MOST = 512  # those heard from last; the others start as unheard of, as all do without a snapshot
--- a/clayscale/net/listener.py
+++ b/sorrelfront/fronts/http1.py
@@ -17,11 +17,11 @@
 
 import h11
 
-from aspentrail.interface import Effect, RequestClass
-from clayscale.agent import Agent, Held
-from clayscale.messages import Address, Answer, Call, Final, Headers, Refused
-from clayscale.net.budget import BODY_MOST, BodyBudget, BodyShare, Descriptors
-from clayscale.net.http import HEAD_MOST, KERNEL_BUFFER, PIECES_IN_A_ROW, Payload, Wire, end_to_end, frame
+from sorrelfront.agent import Agent, Held
+from sorrelfront.decisions.interface import Effect, RequestClass
+from sorrelfront.messages import Address, Answer, Call, Final, Headers, Refused
+from sorrelfront.net.budget import BODY_MOST, BodyBudget, BodyShare, Descriptors
+from sorrelfront.net.http import HEAD_MOST, KERNEL_BUFFER, PIECES_IN_A_ROW, Payload, Wire, end_to_end, frame
 
 log = logging.getLogger(__name__)
 
--- a/standins/crowd.py
+++ b/sorrelfront/lab/crowd.py
@@ -7,7 +7,7 @@
 import time
 from collections import Counter
 
-from standins.http1 import PATIENCE_S, request
+from sorrelfront.lab.http1 import PATIENCE_S, request
 
 RESET = b"reset"
 LOST = b"lost"
--- a/clayscale/cli/demo.py
+++ b/sorrelfront/lab/demo.py
@@ -24,10 +24,10 @@
 from rich.live import Live
 from rich.table import Table
 
-from clayscale.daemon import control
-from standins.crowd import CLASSES, LOST, Crowd
-from standins.http1 import Registry, member
-from standins.shop import Book, Mode, Server
+from sorrelfront.daemon import control
+from sorrelfront.lab.crowd import CLASSES, LOST, Crowd
+from sorrelfront.lab.http1 import Registry, member
+from sorrelfront.lab.shop import Book, Mode, Server
 
 CLIENTS = 24
 PAUSE_S = 0.05  # between a client's answer and its next request
@@ -103,7 +103,7 @@
         self.write(1_000)
         with self.log.open("wb") as log:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "clayscale.cli.main", "serve", str(self.path), stderr=log, stdout=log
+                sys.executable, "-m", "sorrelfront.cli.main", "serve", str(self.path), stderr=log, stdout=log
             )
         try:
             await self._ready(process)
--- a/standins/shop.py
+++ b/sorrelfront/lab/shop.py
@@ -7,7 +7,7 @@
 from collections import Counter, deque
 from enum import Enum
 
-from standins.http1 import Backend, answer
+from sorrelfront.lab.http1 import Backend, answer
 
 DRAIN_S = 0.5  # nothing new later than this after the list said so
 DRAIN_SLACK_S = 0.05  # sockets' own: the rules on sockets give each time limit so much more
--- a/clayscale/membership.py
+++ b/sorrelfront/lists.py
@@ -6,8 +6,8 @@
 from ipaddress import AddressValueError, IPv4Address
 from typing import Any
 
-from aspentrail import interface as api
-from clayscale.messages import Address, Update
+from sorrelfront.decisions import interface as api
+from sorrelfront.messages import Address, Update
 
 PORT = re.compile(r"[0-9]{1,5}")
 STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
--- a/clayscale/messages.py
+++ b/sorrelfront/messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-from aspentrail import interface as api
+from sorrelfront.decisions import interface as api
 
 Headers = list[tuple[bytes, bytes]]
 Address = tuple[str, int]
--- a/clayscale/net/http.py
+++ b/sorrelfront/net/http.py
@@ -15,7 +15,7 @@
 
 import h11
 
-from clayscale.messages import Headers
+from sorrelfront.messages import Headers
 
 RECEIVE_BYTES = 65_536  # read at once: a few pieces to the megabyte, and the most a stream holds
 SEND_BYTES = 65_536  # handed to the kernel at once, so that progress shows within a long body
--- /dev/null
+++ b/sorrelfront/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's program and the simulator's adapter."""
--- a/clayscale/__main__.py
+++ b/sorrelfront/platform/__main__.py
@@ -1,4 +1,4 @@
-"""One agent: `python -m clayscale`, told by the environment what it is."""
+"""One agent: `python -m sorrelfront.platform`, told by the environment what it is."""
 
 from __future__ import annotations
 
@@ -12,15 +12,15 @@
 from collections.abc import Mapping
 from functools import partial
 
-from clayscale.agent import Agent
-from clayscale.config import BadConfig, Config, load
-from clayscale.net.budget import BodyBudget, Descriptors
-from clayscale.net.discovery import watch
-from clayscale.net.listener import Listener
-from clayscale.net.upstream import Upstream
-from clayscale.signals import ignore_from_here, on_signal
+from sorrelfront.agent import Agent
+from sorrelfront.fronts.http1 import Listener
+from sorrelfront.net.budget import BodyBudget, Descriptors
+from sorrelfront.platform.config import BadConfig, Config, load
+from sorrelfront.signals import ignore_from_here, on_signal
+from sorrelfront.sources.registry import watch
+from sorrelfront.upstreams.http1 import Upstream
 
-log = logging.getLogger("clayscale")
+log = logging.getLogger("sorrelfront")
 
 LOG_SPAN_S = 10.0
 LOG_MOST = 20  # lines in a span. Risk: a log that grows with every failure, where files are memory
@@ -98,7 +98,7 @@
         config = load(os.environ)
         asyncio.run(serve(config))
     except BadConfig as fault:
-        print(f"clayscale: {fault}", file=sys.stderr)
+        print(f"sorrelfront: {fault}", file=sys.stderr)
         return 2
     return 0
 
--- a/aspentrail/adapter.py
+++ b/sorrelfront/platform/adapter.py
@@ -1,6 +1,6 @@
-"""Hosts Balancers on the operators' wire: `python -m aspentrail.adapter` reads batches of events on standard
-input and answers each with one batch of actions on standard output. Parses, routes, encodes, flushes; decides
-nothing. Instances share nothing but immutable list entries."""
+"""Hosts Balancers on the operators' wire: `python -m sorrelfront.platform.adapter` reads batches of events on
+standard input and answers each with one batch of actions on standard output. Parses, routes, encodes,
+flushes; decides nothing. Instances share nothing but immutable list entries."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any, TextIO
 
-from aspentrail import interface as api
-from aspentrail.rules import Balancer
+from sorrelfront.decisions import interface as api
+from sorrelfront.decisions.balancer import Balancer
 
 OUTCOMES = {
     "200": api.Outcome.OK,
@@ -257,20 +257,20 @@
                 host.event(word, parts)
         except (Malformed, ValueError, KeyError) as fault:
             what = f"{fault.args[0]} is missing" if isinstance(fault, KeyError) else str(fault)
-            if _from_rules(fault):
+            if _from_decisions(fault):
                 _report_bug(host, parts, fault, err)
                 continue
-            print(f"aspentrail.adapter: line {number}: {what}: {line[:200]}", file=err)
+            print(f"sorrelfront.platform.adapter: line {number}: {what}: {line[:200]}", file=err)
             return 2
         except Exception as fault:
             _report_bug(host, parts, fault, err)
     return 0
 
 
-def _from_rules(fault: BaseException) -> bool:
+def _from_decisions(fault: BaseException) -> bool:
     """Whether the decisions raised it, and not the reading of the line."""
     frames = [frame.f_code.co_filename for frame, _ in traceback.walk_tb(fault.__traceback__)]
-    return any(name.endswith("rules.py") for name in frames)
+    return any(name.endswith("balancer.py") for name in frames)
 
 
 def _report_bug(host: Host, parts: Parts, fault: BaseException, err: TextIO) -> None:
--- a/clayscale/config.py
+++ b/sorrelfront/platform/config.py
@@ -9,10 +9,10 @@
 from pathlib import Path
 from typing import Any
 
-from aspentrail.adapter import parse_settings
-from aspentrail.interface import Settings
-from clayscale.membership import Malformed, parse_address, parse_update
-from clayscale.messages import Address, Update
+from sorrelfront.decisions.interface import Settings
+from sorrelfront.lists import Malformed, parse_address, parse_update
+from sorrelfront.messages import Address, Update
+from sorrelfront.platform.adapter import parse_settings
 
 CONFIG = "BALANCER_CONFIG"
 LEAST_MEMORY_MB = 1
--- /dev/null
+++ b/sorrelfront/sources/__init__.py
@@ -0,0 +1,1 @@
+"""Where lists of servers come from: each turns what it hears into updates."""
--- a/clayscale/net/discovery.py
+++ b/sorrelfront/sources/registry.py
@@ -10,10 +10,10 @@
 
 import h11
 
-from clayscale.config import Config
-from clayscale.membership import Malformed, parse_update
-from clayscale.messages import Address, Update
-from clayscale.net.http import Wire, frame
+from sorrelfront.lists import Malformed, parse_update
+from sorrelfront.messages import Address, Update
+from sorrelfront.net.http import Wire, frame
+from sorrelfront.platform.config import Config
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/sorrelfront/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""What servers speak: one attempt carried out, one outcome told, connections kept."""
--- a/clayscale/net/upstream.py
+++ b/sorrelfront/upstreams/http1.py
@@ -16,11 +16,10 @@
 
 import h11
 
-from aspentrail.interface import Outcome
-from clayscale.config import Config
-from clayscale.messages import Address, Answer, Call, Ended
-from clayscale.net.budget import BODY_MOST, Descriptors
-from clayscale.net.http import (
+from sorrelfront.decisions.interface import Outcome
+from sorrelfront.messages import Address, Answer, Call, Ended
+from sorrelfront.net.budget import BODY_MOST, Descriptors
+from sorrelfront.net.http import (
     HEAD_MOST,
     KERNEL_BUFFER,
     PIECES_IN_A_ROW,
@@ -29,6 +28,7 @@
     Wire,
     end_to_end,
 )
+from sorrelfront.platform.config import Config
 
 log = logging.getLogger(__name__)
 
--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -14,7 +14,7 @@
 
 
 def run(*words: str) -> subprocess.CompletedProcess[str]:
-    command = [sys.executable, "-m", "clayscale.cli.main", *words]
+    command = [sys.executable, "-m", "sorrelfront.cli.main", *words]
     return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=120)
 
 
--- a/tests/daemon/fleet.py
+++ b/tests/daemon/fleet.py
@@ -11,8 +11,8 @@
 from pathlib import Path
 from typing import Any
 
-from clayscale.daemon import control
-from standins.http1 import PATIENCE_S, Backend, Registry, answer, member
+from sorrelfront.daemon import control
+from sorrelfront.lab.http1 import PATIENCE_S, Backend, Registry, answer, member
 from tests.test_process import ROOT, free_address
 
 OK = answer(b"served")
@@ -65,7 +65,7 @@
     async def start(self) -> None:
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "clayscale.cli.main", "serve", str(self.path),
+                sys.executable, "-m", "sorrelfront.cli.main", "serve", str(self.path),
                 cwd=ROOT, env={**os.environ, **self.environ}, stderr=log,
             )  # fmt: skip
 
--- a/tests/daemon/test_configuration.py
+++ b/tests/daemon/test_configuration.py
@@ -10,8 +10,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from clayscale import config
-from clayscale.daemon.configuration import BadDocument, Document, check, instance_table, parse, read
+from sorrelfront.daemon.configuration import BadDocument, Document, check, instance_table, parse, read
+from sorrelfront.platform import config
 
 SHIPPED = Path(__file__).parents[2] / "deploy" / "sorrelfront.toml"
 PATH = Path("/etc/sorrelfront.toml")
--- a/tests/daemon/test_control.py
+++ b/tests/daemon/test_control.py
@@ -12,9 +12,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from clayscale.daemon import control
-from clayscale.daemon.control import FRAME_MOST, HEAD, PEERS_MOST, Control, Message, Unavailable, ask
-from standins.http1 import PATIENCE_S
+from sorrelfront.daemon import control
+from sorrelfront.daemon.control import FRAME_MOST, HEAD, PEERS_MOST, Control, Message, Unavailable, ask
+from sorrelfront.lab.http1 import PATIENCE_S
 
 NOISE = st.one_of(
     st.binary(max_size=200),
--- a/tests/daemon/test_fleet.py
+++ b/tests/daemon/test_fleet.py
@@ -15,9 +15,9 @@
 
 import pytest
 
-from clayscale.daemon import control
-from standins.crowd import LOST, Crowd, ran_twice
-from standins.http1 import PATIENCE_S, Backend, connect, gate, member, request
+from sorrelfront.daemon import control
+from sorrelfront.lab.crowd import LOST, Crowd, ran_twice
+from sorrelfront.lab.http1 import PATIENCE_S, Backend, connect, gate, member, request
 from tests.daemon.fleet import OK, Fleet, fleet
 from tests.loopback import until
 from tests.test_process import ROOT, free_address
@@ -357,7 +357,7 @@
         os.dup2(sock.fileno(), 3, inheritable=True)
         try:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-c", code, sys.executable, "-m", "clayscale.cli.main", "serve",
+                sys.executable, "-c", code, sys.executable, "-m", "sorrelfront.cli.main", "serve",
                 str(made.path), cwd=ROOT, env=environ, pass_fds=[3],
             )  # fmt: skip
         finally:
@@ -422,11 +422,12 @@
 
 
 def test_the_platforms_program_imports_none_of_the_new_parts() -> None:
-    code = "import sys, clayscale.__main__; print(' '.join(sorted(sys.modules)))"
+    code = "import sys, sorrelfront.platform.__main__; print(' '.join(sorted(sys.modules)))"
     run = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
     loaded = run.stdout.split()
-    assert "clayscale.net.listener" in loaded
-    extras = ("clayscale.daemon", "clayscale.cli", "standins", "click", "rich", "aspentrail.supervision")
+    assert "sorrelfront.fronts.http1" in loaded
+    extras = ("sorrelfront.daemon", "sorrelfront.cli", "sorrelfront.lab", "click", "rich",
+              "sorrelfront.decisions.supervision")  # fmt: skip
     assert not [name for name in loaded if name.startswith(extras)]
 
 
--- a/tests/daemon/test_replacement.py
+++ b/tests/daemon/test_replacement.py
@@ -11,9 +11,9 @@
 
 import pytest
 
-from clayscale.daemon import control
-from standins.crowd import LOST, Crowd, ran_twice
-from standins.http1 import PATIENCE_S, Backend, connect, gate, member, request
+from sorrelfront.daemon import control
+from sorrelfront.lab.crowd import LOST, Crowd, ran_twice
+from sorrelfront.lab.http1 import PATIENCE_S, Backend, connect, gate, member, request
 from tests.daemon.fleet import OK, Fleet, fleet
 from tests.loopback import until
 from tests.test_process import ROOT
@@ -24,7 +24,7 @@
 async def replacement(made: Fleet) -> asyncio.subprocess.Process:
     with made.log.open("ab") as log:
         return await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "clayscale.cli.main", "serve", str(made.path), "--replace",
+            sys.executable, "-m", "sorrelfront.cli.main", "serve", str(made.path), "--replace",
             cwd=ROOT, stderr=log,
         )  # fmt: skip
 
--- a/tests/decisions/test_learnt.py
+++ b/tests/decisions/test_learnt.py
@@ -8,9 +8,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from aspentrail.interface import Backend, BackendList, ListKind, Outcome
-from aspentrail.learnt import AGE_MOST_US, TEXT_MOST, VERSION, Unusable, adopt, snapshot
-from aspentrail.rules import Balancer
+from sorrelfront.decisions.balancer import Balancer
+from sorrelfront.decisions.interface import Backend, BackendList, ListKind, Outcome
+from sorrelfront.decisions.learnt import AGE_MOST_US, TEXT_MOST, VERSION, Unusable, adopt, snapshot
 from tests.helpers import SAFE, balancer, ended, request, sends
 
 NOW = 50_000_000
--- a/tests/decisions/test_supervision.py
+++ b/tests/decisions/test_supervision.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from aspentrail.supervision import Action, Kill, Phase, Policy, Report, Start, Stop, Supervisor
+from sorrelfront.decisions.supervision import Action, Kill, Phase, Policy, Report, Start, Stop, Supervisor
 
 POLICY = Policy()
 S = 1_000_000
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,7 +4,8 @@
 
 from typing import Any
 
-from aspentrail.interface import (
+from sorrelfront.decisions.balancer import Balancer
+from sorrelfront.decisions.interface import (
     Action,
     AttemptEnded,
     Backend,
@@ -18,7 +19,6 @@
     Send,
     Settings,
 )
-from aspentrail.rules import Balancer
 
 SAFE = RequestClass("read", Effect.SAFE, aim_us=100_000, deadline_us=1_000_000)
 UNSAFE = RequestClass("pay", Effect.UNSAFE, aim_us=100_000, deadline_us=1_000_000)
--- a/tests/standins/test_books.py
+++ b/tests/lab/test_books.py
@@ -5,10 +5,10 @@
 import asyncio
 import time
 
-from clayscale.cli.demo import broken
-from standins.crowd import LOST, Crowd, ran_twice
-from standins.http1 import PATIENCE_S, connect, request
-from standins.shop import Book, Server
+from sorrelfront.lab.crowd import LOST, Crowd, ran_twice
+from sorrelfront.lab.demo import broken
+from sorrelfront.lab.http1 import PATIENCE_S, connect, request
+from sorrelfront.lab.shop import Book, Server
 
 
 def test_a_request_that_runs_twice_is_in_the_book_and_one_whose_key_is_remembered_is_not() -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -7,13 +7,9 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
-from clayscale.agent import Agent
-from clayscale.config import Config, parse
-from clayscale.net.budget import BodyBudget, Descriptors
-from clayscale.net.discovery import watch
-from clayscale.net.listener import Listener
-from clayscale.net.upstream import Upstream
-from standins.http1 import (
+from sorrelfront.agent import Agent
+from sorrelfront.fronts.http1 import Listener
+from sorrelfront.lab.http1 import (
     PATIENCE_S,
     Backend,
     Client,
@@ -25,6 +21,10 @@
     request,
     table,
 )
+from sorrelfront.net.budget import BodyBudget, Descriptors
+from sorrelfront.platform.config import Config, parse
+from sorrelfront.sources.registry import watch
+from sorrelfront.upstreams.http1 import Upstream
 
 __all__ = [
     "PATIENCE_S", "Backend", "Client", "Registry", "Script", "World", "answer", "connect", "member",
--- a/tests/net/test_closing.py
+++ b/tests/net/test_closing.py
@@ -16,14 +16,14 @@
 
 import pytest
 
-from aspentrail.interface import Outcome
-from clayscale import __main__ as program
-from clayscale.messages import Call
-from clayscale.net import listener
-from clayscale.net.budget import Descriptors
-from clayscale.net.http import Payload, Wire
-from clayscale.net.upstream import Upstream
-from standins.crowd import Peer
+from sorrelfront.decisions.interface import Outcome
+from sorrelfront.fronts import http1 as listener
+from sorrelfront.lab.crowd import Peer
+from sorrelfront.messages import Call
+from sorrelfront.net.budget import Descriptors
+from sorrelfront.net.http import Payload, Wire
+from sorrelfront.platform import __main__ as program
+from sorrelfront.upstreams.http1 import Upstream
 from tests.loopback import PATIENCE_S, Backend, World, answer, request, table, world
 
 TURNS = 31  # of the loop, from none to 30
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -53,7 +53,7 @@
 
 def talk(text: str, env: dict[str, str] | None = None) -> subprocess.CompletedProcess[str]:
     return subprocess.run(
-        [sys.executable, "-m", "aspentrail.adapter"],
+        [sys.executable, "-m", "sorrelfront.platform.adapter"],
         input=text,
         capture_output=True,
         text=True,
@@ -149,7 +149,7 @@
 
 def test_an_error_in_the_decisions_is_reported_for_its_instance() -> None:
     code = (
-        "import aspentrail.rules as r, aspentrail.adapter as a\n"
+        "import sorrelfront.decisions.balancer as r, sorrelfront.platform.adapter as a\n"
         "def broken(self, held, now): raise KeyError('inside')\n"
         "broken.__code__ = broken.__code__.replace(co_filename=r.__file__)\n"
         "r.Balancer._place = broken\n"
@@ -186,12 +186,12 @@
 
 
 def test_the_module_stays_small_and_narrow() -> None:
-    lines = (ROOT / "aspentrail" / "rules.py").read_text().splitlines()
+    lines = (ROOT / "sorrelfront" / "decisions" / "balancer.py").read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 600
     assert max(map(len, lines)) <= 110
 
 
 def test_the_rules_know_no_wire_word() -> None:
-    text = (ROOT / "aspentrail" / "rules.py").read_text()
+    text = (ROOT / "sorrelfront" / "decisions" / "balancer.py").read_text()
     for word in ("DISPATCH", "txn", "hop", "FLEET", "grades", "who=", "side_effect", "lane"):
         assert word not in text.replace("hopeless", "")
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from clayscale.net import upstream
+from sorrelfront.upstreams import http1 as upstream
 from tests.loopback import PATIENCE_S, Backend, Registry, answer, member, request, until, world
 
 OK = answer(b"served")
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from clayscale.net import listener
+from sorrelfront.fronts import http1 as listener
 from tests.loopback import Backend, answer, connect, request, until, world
 
 OK = answer(b"served")
@@ -309,7 +309,7 @@
 
     async def play() -> None:
         # Longer than the test may take, so that what comes late still comes within it.
-        monkeypatch.setattr("clayscale.net.listener.GOING_AWAY_S", 60.0)
+        monkeypatch.setattr("sorrelfront.fronts.http1.GOING_AWAY_S", 60.0)
         backend = await Backend(OK).start()
         async with world(backend) as made:
             resting = await made.client()
--- a/tests/test_estimate.py
+++ b/tests/test_estimate.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from aspentrail.interface import Backend, Outcome
-from aspentrail.rules import LET_THROUGH, PENALTY, Kind, Recent, Server, Usual
+from sorrelfront.decisions.balancer import LET_THROUGH, PENALTY, Kind, Recent, Server, Usual
+from sorrelfront.decisions.interface import Backend, Outcome
 from tests.helpers import SAFE, balancer, ended, request, sends
 
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -58,8 +58,9 @@
             "BALANCER_DISCOVERY": self.config["discovery"],
         }
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "clayscale", cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE
-        )
+            sys.executable, "-m", "sorrelfront.platform",
+            cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
         assert self.process.stderr is not None
         self.stderr = self.process.stderr
 
@@ -170,7 +171,7 @@
             await made.start()
             said = await asyncio.wait_for(made.stderr.read(), PATIENCE_S)
             assert await asyncio.wait_for(made.process.wait(), PATIENCE_S) == 2
-            assert said.count(b"\n") == 1 and said.startswith(b"clayscale: ")
+            assert said.count(b"\n") == 1 and said.startswith(b"sorrelfront: ")
 
     asyncio.run(play())
 
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -8,7 +8,8 @@
 from hypothesis import settings as tuned
 from hypothesis import strategies as st
 
-from aspentrail.interface import (
+from sorrelfront.decisions.balancer import Balancer
+from sorrelfront.decisions.interface import (
     NEVER_RAN,
     Action,
     AttemptEnded,
@@ -29,7 +30,6 @@
     State,
     Timer,
 )
-from aspentrail.rules import Balancer
 from tests.helpers import CLASSES, settings
 
 Step = tuple[str, int, int]
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from standins.crowd import Crowd
+from sorrelfront.lab.crowd import Crowd
 from tests.loopback import Backend, Registry, answer
 from tests.test_process import program
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from aspentrail.interface import (
+from sorrelfront.decisions.balancer import RETRY_BURST, RETRY_SHARE, Balancer
+from sorrelfront.decisions.interface import (
     AttemptEnded,
     Backend,
     BackendList,
@@ -26,7 +27,6 @@
     Subscribe,
     Timer,
 )
-from aspentrail.rules import RETRY_BURST, RETRY_SHARE, Balancer
 from tests.helpers import (
     BY_CELL,
     BY_ZONE,
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from clayscale.config import parse
+from sorrelfront.platform.config import parse
 from tests.loopback import PATIENCE_S, Backend, Client, World, answer, member, request, table, until, world
 
 OK = answer(b"served")
