--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -76,6 +76,11 @@
         self.overdue: asyncio.TimerHandle | None = None
 
 
+def _about(call: Call) -> dict[str, str]:
+    """Fields of a log event about this call."""
+    return {"class": call.class_name, "call": call.client_id.decode("latin-1")[:64]}
+
+
 class Agent:
     """One Balancer on real time, real backends and a real list."""
 
@@ -177,7 +182,7 @@
 
     def _overdue(self, held: Held) -> None:
         # Risk: whatever goes wrong with a decision, a request that was taken would be lost.
-        log.error("request %d was overdue", held.id)
+        log.error("request %d was overdue", held.id, extra=_about(held.call))
         self._finish(held, Failed())
         self._tell(self.balancer.on_client_gone, api.ClientGone(held.id))
 
@@ -197,7 +202,8 @@
         try:
             self._run(handler(event, self.now()))
         except Exception:
-            log.exception("deciding on %s failed", type(event).__name__)
+            about = _about(held.call) if held is not None else None
+            log.exception("deciding on %s failed", type(event).__name__, extra=about)
             if held is not None and self._finish(held, Failed()):
                 self._tell(self.balancer.on_client_gone, api.ClientGone(held.id))
 
@@ -263,10 +269,13 @@
         held.attempts += 1
         started = self.now()
         task = self._running[key] = asyncio.create_task(self._exchange(held.call, action))
-        task.add_done_callback(lambda done: self._attempted(held, key, done, self.now() - started))
+        backend = action.backend
+        task.add_done_callback(
+            lambda done: self._attempted(held, key, backend, done, self.now() - started)
+        )
 
     def _attempted(
-        self, held: Held, key: tuple[int, int], task: asyncio.Task[Ended], elapsed_us: int
+        self, held: Held, key: tuple[int, int], backend: str, task: asyncio.Task[Ended], elapsed_us: int
     ) -> None:
         """Told however the task ends. Risk: one that is cancelled before its first step runs none of its own
         code, and the module would count the attempt as pending for ever."""
@@ -274,7 +283,8 @@
         if task.cancelled():
             ended = Ended(api.Outcome.CANCELLED)
         elif fault := task.exception():
-            log.error("an attempt failed", exc_info=fault)
+            about = {**_about(held.call), "server": backend}
+            log.error("an attempt failed", exc_info=fault, extra=about)
             ended = Ended(api.Outcome.UNKNOWN)
         else:
             ended = task.result()
--- a/sorrelfront/cli/main.py
+++ b/sorrelfront/cli/main.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import logging
 from pathlib import Path
 from typing import Any
 
@@ -13,11 +12,15 @@
 from rich.table import Table
 
 from sorrelfront.daemon import control
-from sorrelfront.daemon.configuration import BadDocument, read
+from sorrelfront.daemon.configuration import BadDocument, Document, read
 
 FILE = click.argument("file", type=click.Path(path_type=Path))
 JSON = click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
-FIGURES = ("offered", "served", "refused", "failed", "held", "connections", "ready_servers")
+FIGURES = {  # by heading: short enough for 80 columns with counts of six digits
+    "asked": "offered", "served": "served", "refused": "refused", "failed": "failed", "held": "held",
+    "conns": "connections", "servers": "ready_servers",
+}  # fmt: skip
+PIPE_WIDTH = 1_000  # nothing is cut off where no terminal is
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -36,7 +39,6 @@
     """
     from sorrelfront.daemon import supervisor
 
-    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     raise SystemExit(supervisor.serve(file, lambda line: click.echo(line, err=True), replace))
 
 
@@ -66,16 +68,22 @@
 def ctl(context: click.Context, file: Path) -> None:
     """Talk to the daemon that runs by FILE."""
     try:
-        context.obj = read(file).control
+        context.obj = read(file)
     except BadDocument as bad:
         raise click.ClickException("\n".join(bad.lines())) from None
 
 
-def _ask(path: Path, message: dict[str, Any]) -> dict[str, Any]:
+def _ask(document: Document, message: dict[str, Any]) -> dict[str, Any]:
     try:
-        return asyncio.run(control.ask(path, message))
+        return asyncio.run(control.ask(document.control, message))
+    except control.NobodyThere:
+        said = f"no daemon runs by this file: {document.path} (nobody answers at {document.control})"
+        doors = len([*document.run_folder.glob("*-*.sock")])
+        if doors:
+            said += f"\nup to {doors} instances may serve without one; `sorrelfront serve` adopts them"
+        raise click.ClickException(said) from None
     except control.Unavailable as fault:
-        raise click.ClickException(str(fault)) from None
+        raise click.ClickException(f"the daemon does not answer: {fault}") from None
 
 
 def _told(answer: dict[str, Any], as_json: bool, done: str) -> None:
@@ -93,43 +101,72 @@
 @ctl.command()
 @JSON
 @click.pass_obj
-def status(path: Path, as_json: bool) -> None:
+def status(document: Document, as_json: bool) -> None:
     """Show the instances and what they do."""
-    answer = _ask(path, {"op": "status"})
+    answer = _ask(document, {"op": "status"})
     if as_json or not answer.get("ok"):
         _told(answer, as_json, "")
-    up = f"up {answer['up_s']:.0f} s, file {answer['generation']}"
-    table = Table("instance", "phase", "run", "pid", *FIGURES, title=f"{answer['name']}: {up}")
+    console = Console()
+    table = Table(box=None, pad_edge=False)
+    for name in ("name", "phase", "run", "pid", *FIGURES):
+        table.add_column(name, no_wrap=True, justify="left" if name in ("name", "phase") else "right")
     for item in answer["instances"]:
-        phase = item["phase"] + (" (crash loop)" if item["crash_loop"] else "")
-        cells = [item["name"], phase, item["run"], item["pid"], *(item.get(name) for name in FIGURES)]
-        table.add_row(*("-" if cell is None else str(cell) for cell in cells))
-    Console(width=None).print(table)
+        phase = "looping" if item["crash_loop"] else item["phase"]
+        pid = "-" if item["pid"] is None else str(item["pid"])
+        shown = [_count(item.get(name), console.is_terminal) for name in FIGURES.values()]
+        table.add_row(item["name"], phase, str(item["run"]), pid, *shown)
+    if not console.is_terminal:
+        console = Console(width=PIPE_WIDTH)
+    ready = sum(item["phase"] == "ready" for item in answer["instances"])
+    doing = [word for word in ("stopping", "reloading", "replacing") if answer[word]]
+    console.print(
+        f"{answer['name']}, pid {answer['pid']}, up {answer['up_s']:.0f} s, file {answer['generation']}, "
+        f"{ready} of {len(answer['instances'])} ready" + "".join(f", {word}" for word in doing),
+        highlight=False,
+    )
+    if answer["adopted"]:
+        console.print(f"{answer['adopted']} instances adopted at the start", highlight=False)
+    state = answer["state"]
+    if state is not None:
+        kept = f"written {state['written']} times" if not state["fault"] else f"not written: {state['fault']}"
+        console.print(f"state in {state['folder']}: {kept}", highlight=False, soft_wrap=True)
+    console.print(table)
+
+
+def _count(cell: Any, short: bool) -> str:
+    """A figure; in a terminal one of more than six digits in thousands, millions."""
+    if not isinstance(cell, int) or not short or cell < 1_000_000:
+        return "-" if cell is None else str(cell)
+    for unit in ("k", "M", "G"):
+        cell /= 1_000
+        if cell < 10_000:
+            return f"{cell:.0f}{unit}"
+    return f"{cell:.0f}G"
 
 
 @ctl.command()
 @JSON
 @click.pass_obj
-def reload(path: Path, as_json: bool) -> None:
+def reload(document: Document, as_json: bool) -> None:
     """Have every instance take the file as it is now, or none."""
-    _told(_ask(path, {"op": "reload"}), as_json, "{instances} instances go by the new file")
+    _told(_ask(document, {"op": "reload"}), as_json, "{instances} instances go by the new file")
 
 
 @ctl.command()
 @click.argument("instance")
 @JSON
 @click.pass_obj
-def drain(path: Path, instance: str, as_json: bool) -> None:
+def drain(document: Document, instance: str, as_json: bool) -> None:
     """Take INSTANCE out of service: it finishes what it owes and ends."""
-    _told(_ask(path, {"op": "drain", "instance": instance}), as_json, f"{instance} drains")
+    _told(_ask(document, {"op": "drain", "instance": instance}), as_json, f"{instance} drains")
 
 
 @ctl.command()
 @JSON
 @click.pass_obj
-def stop(path: Path, as_json: bool) -> None:
+def stop(document: Document, as_json: bool) -> None:
     """Drain all instances and end the daemon."""
-    _told(_ask(path, {"op": "stop"}), as_json, "stopping")
+    _told(_ask(document, {"op": "stop"}), as_json, "stopping")
 
 
 @main.command()
--- a/sorrelfront/daemon/configuration.py
+++ b/sorrelfront/daemon/configuration.py
@@ -1,27 +1,36 @@
 """The daemon's file: TOML, checked whole. Every fault is told in one go, with its table and key.
 
 A `Document` is what a good file says. `instance_table` words it for one instance in the form that
-`sorrelfront.platform.config.parse` reads, so that both programs take their terms through one door.
+`sorrelfront.platform.config.parse` reads, so that both programs take their terms through one door. Types and
+ranges are msgspec's; the words, the nearest key and what one key says of another are ours.
 """
 
 from __future__ import annotations
 
+import dataclasses
 import difflib
 import os
+import re
 import tomllib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from functools import cache
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any, ClassVar, Literal, get_args
+
+import msgspec
+from msgspec import NODEFAULT, Meta
+from msgspec.structs import FieldInfo
 
 from sorrelfront.lists import Malformed, parse_address
 from sorrelfront.messages import Address
 
-FILE_MOST = 1024 * 1024  # bytes; some thousand servers in a fixed list
-TABLE_MOST = 96 * 1024  # bytes of one instance's terms as JSON: they go over a socket in one message
+FILE_MOST = 4 * 1024 * 1024  # bytes; 10,000 servers in a fixed list take about one million
+SERVERS_MOST = 10_000  # in a fixed list
 INSTANCES_MOST = 256
 LISTENERS_MOST = 16
-CONTROL_PATH_MOST = 100  # bytes; a Unix socket's address holds 107
+# Bytes. A Unix socket's address holds 107, and the doors of the instances lie below it: .d/i255-4194304.sock
+CONTROL_PATH_MOST = 84
 
 REPEATS = {"safe": "pure", "keyed": "token", "unsafe": "side_effect"}
 
@@ -52,19 +61,6 @@
         return [" ".join(f"{self.path}: {fault}".split()) for fault in self.faults]
 
 
-@dataclass(frozen=True, slots=True)
-class Key:
-    """What a key may hold. `least` and `most` bound a number, or a text's length."""
-
-    kind: type
-    default: Any = None
-    required: bool = False
-    least: float | None = None
-    most: float | None = None
-    among: tuple[str, ...] = ()
-    check: Callable[[Any], str | None] | None = None
-
-
 def _address(value: str) -> str | None:
     try:
         parse_address(value)
@@ -77,63 +73,93 @@
     return None if len(os.fsencode(value)) <= CONTROL_PATH_MOST else "is too long for a Unix socket"
 
 
-DAEMON = {
-    "name": Key(str, "sorrelfront", least=1, most=64),
-    "control": Key(str, required=True, least=1, check=_control),
-    "seed": Key(int, 1, least=0, most=2**63 - 1),
-    "instances": Key(int, 2, least=1, most=INSTANCES_MOST),
-    "memory_mb": Key(int, 64, least=1, most=65_536),
-    "sockets": Key(int, 512, least=64, most=1_048_576),
-    "start_within_ms": Key(int, 10_000, least=100, most=600_000),
-    "reload_within_ms": Key(int, 3_000, least=50, most=600_000),
-    "hang_after_ms": Key(int, 5_000, least=1_000, most=600_000),
-    "restart_first_ms": Key(int, 200, least=1, most=600_000),
-    "restart_longest_ms": Key(int, 30_000, least=1, most=3_600_000),
-}
-LISTENER = {
-    "address": Key(str, required=True, check=_address),
-    "protocol": Key(str, "http1", among=("http1",)),
-}
-CLASS = {
-    "repeat": Key(str, required=True, among=tuple(REPEATS)),
-    "aim_ms": Key(float, required=True, least=0.001, most=3_600_000),
-    "deadline_ms": Key(float, required=True, least=0.001, most=3_600_000),
-    "window_ms": Key(float, 0.0, least=0, most=3_600_000),
-    "scope": Key(str, "all", among=("all", "zone", "cell")),
-    "worth": Key(float, 1.0, least=0, most=1e9),
-    "late_worth": Key(float, 0.0, least=0, most=1e9),
-}
-LIMITS = {
-    "tries": Key(int, 3, least=1, most=16),
-    "held": Key(int, 1_000, least=1, most=1_000_000),
-    "connect_timeout_ms": Key(float, 250.0, least=1, most=60_000),
-    "retry_after_most_ms": Key(float, 500.0, least=0, most=60_000),
-    "idle_ms": Key(float, 30_000.0, least=1, most=3_600_000),
-    "cancel": Key(bool, True),
-}
-RULES = {
-    "answer_slack_ms": Key(float, 20.0, least=0, most=10_000),
-    "cold_from": Key(float, 0.3, least=0.001, most=1),
-    "cold_ms": Key(float, 9_000.0, least=0, most=3_600_000),
-    "cold_multiple": Key(float, 3.0, least=0.1, most=1_000),
-    "cold_span_ms": Key(float, 1_500.0, least=1, most=3_600_000),
-    "drain_grace_ms": Key(float, 500.0, least=1, most=60_000),
-    "ask_within_ms": Key(float, 200.0, least=1, most=600_000),
-}
-MEMBERSHIP = {
-    "source": Key(str, "registry", among=("registry", "fixed")),
-    "address": Key(str, "", check=lambda value: _address(value) if value else None),
-    "servers": Key(list, ()),
-}
-SERVER = {
-    "id": Key(str, required=True, least=1, most=128),
-    "address": Key(str, required=True, check=_address),
-    "zone": Key(str, "", most=128),
-    "kind": Key(str, "", most=128),
-    "cell": Key(int, 0, least=0, most=1_000_000),
-    "size": Key(float, 1.0, least=0.001, most=1e6),
-}
-TOP = ("daemon", "listeners", "classes", "limits", "rules", "membership")
+class Table(msgspec.Struct, kw_only=True):
+    """A table of the file: its keys, their types, ranges and defaults. `CHECKS` are for what a range cannot
+    say, each telling what is wrong, or None."""
+
+    CHECKS: ClassVar[dict[str, Callable[[Any], str | None]]] = {}
+
+
+class Daemon(Table, kw_only=True):
+    CHECKS = {"control": _control}
+
+    name: Annotated[str, Meta(min_length=1, max_length=64)] = "sorrelfront"
+    control: Annotated[str, Meta(min_length=1)]
+    seed: Annotated[int, Meta(ge=0, le=2**63 - 1)] = 1
+    instances: Annotated[int, Meta(ge=1, le=INSTANCES_MOST)] = 2
+    memory_mb: Annotated[int, Meta(ge=1, le=65_536)] = 64
+    sockets: Annotated[int, Meta(ge=64, le=1_048_576)] = 512
+    start_within_ms: Annotated[int, Meta(ge=100, le=600_000)] = 10_000
+    reload_within_ms: Annotated[int, Meta(ge=50, le=600_000)] = 3_000
+    hang_after_ms: Annotated[int, Meta(ge=1_000, le=600_000)] = 5_000
+    restart_first_ms: Annotated[int, Meta(ge=1, le=600_000)] = 200
+    restart_longest_ms: Annotated[int, Meta(ge=1, le=3_600_000)] = 30_000
+    orphan_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 60_000
+    state_dir: Annotated[str, Meta(max_length=1_024)] = ""
+    state_every_ms: Annotated[int, Meta(ge=100, le=3_600_000)] = 2_000
+
+
+class Log(Table, kw_only=True):
+    format: Literal["auto", "text", "json"] = "text"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class Listener(Table, kw_only=True):
+    CHECKS = {"address": _address}
+
+    address: str
+    protocol: Literal["http1"] = "http1"
+
+
+class Class(Table, kw_only=True):
+    repeat: Literal["safe", "keyed", "unsafe"]
+    aim_ms: Annotated[float, Meta(ge=0.001, le=3_600_000)]
+    deadline_ms: Annotated[float, Meta(ge=0.001, le=3_600_000)]
+    window_ms: Annotated[float, Meta(ge=0, le=3_600_000)] = 0.0
+    scope: Literal["all", "zone", "cell"] = "all"
+    worth: Annotated[float, Meta(ge=0, le=1e9)] = 1.0
+    late_worth: Annotated[float, Meta(ge=0, le=1e9)] = 0.0
+
+
+class Limits(Table, kw_only=True):
+    tries: Annotated[int, Meta(ge=1, le=16)] = 3
+    held: Annotated[int, Meta(ge=1, le=1_000_000)] = 1_000
+    connect_timeout_ms: Annotated[float, Meta(ge=1, le=60_000)] = 250.0
+    retry_after_most_ms: Annotated[float, Meta(ge=0, le=60_000)] = 500.0
+    idle_ms: Annotated[float, Meta(ge=1, le=3_600_000)] = 30_000.0
+    cancel: bool = True
+
+
+class Rules(Table, kw_only=True):
+    answer_slack_ms: Annotated[float, Meta(ge=0, le=10_000)] = 20.0
+    cold_from: Annotated[float, Meta(ge=0.001, le=1)] = 0.3
+    cold_ms: Annotated[float, Meta(ge=0, le=3_600_000)] = 9_000.0
+    cold_multiple: Annotated[float, Meta(ge=0.1, le=1_000)] = 3.0
+    cold_span_ms: Annotated[float, Meta(ge=1, le=3_600_000)] = 1_500.0
+    drain_grace_ms: Annotated[float, Meta(ge=1, le=60_000)] = 500.0
+    ask_within_ms: Annotated[float, Meta(ge=1, le=600_000)] = 200.0
+
+
+class Membership(Table, kw_only=True):
+    CHECKS = {"address": lambda value: _address(value) if value else None}
+
+    source: Literal["registry", "fixed"] = "registry"
+    address: str = ""
+    servers: Annotated[list[Any], Meta(max_length=SERVERS_MOST)] = []
+
+
+class Server(Table, kw_only=True):
+    CHECKS = {"address": _address}
+
+    id: Annotated[str, Meta(min_length=1, max_length=128)]
+    address: str
+    zone: Annotated[str, Meta(max_length=128)] = ""
+    kind: Annotated[str, Meta(max_length=128)] = ""
+    cell: Annotated[int, Meta(ge=0, le=1_000_000)] = 0
+    size: Annotated[float, Meta(ge=0.001, le=1e6)] = 1.0
+
+
+TOP = ("daemon", "log", "listeners", "classes", "limits", "rules", "membership")
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,17 +168,30 @@
 
     path: Path
     daemon: dict[str, Any]
+    log: dict[str, Any]
     listeners: dict[str, dict[str, Any]]
     classes: dict[str, dict[str, Any]]
     limits: dict[str, Any]
     rules: dict[str, Any]
     membership: dict[str, Any]
+    text: bytes = b""  # the file as it was read
 
     @property
     def control(self) -> Path:
         """The control socket; a relative path counts from the file."""
         return self.path.parent / str(self.daemon["control"])
 
+    @property
+    def run_folder(self) -> Path:
+        """Where the instances' own sockets, the journal and the lock lie."""
+        return self.control.with_name(self.control.name + ".d")
+
+    @property
+    def state_folder(self) -> Path | None:
+        """Where state is kept on disk, if it is; a relative path counts from the file."""
+        told = str(self.daemon["state_dir"])
+        return self.path.parent / told if told else None
+
     @property
     def addresses(self) -> dict[str, Address]:
         return {name: parse_address(table["address"]) for name, table in self.listeners.items()}
@@ -179,51 +218,80 @@
         near = difflib.get_close_matches(key, list(known), n=1, cutoff=0.0)
         self.fault(table, key, f"is not a key known here; the nearest is {near[0]!r}")
 
-    def table(self, value: Any, name: str, keys: Mapping[str, Key]) -> dict[str, Any]:
-        """The table's values, as good as they are."""
+    def table(self, value: Any, name: str, model: type[Table]) -> dict[str, Any]:
+        """The table's values, as good as they are: a fault leaves the default, or None, in its place. Each
+        key is converted by itself, since a whole table's conversion ends at its first fault."""
+        keys = _fields(model)
         if not isinstance(value, dict):
             self.fault(name, "", "is not a table")
-            return {key: spec.default for key, spec in keys.items()}
+            return {key: _default(spec) for key, spec in keys.items()}
         for key in value:
             if key not in keys:
                 self.unknown(name, key, keys)
-        return {key: self.value(value, name, key, spec) for key, spec in keys.items()}
+        return {key: self.value(value, name, key, spec, model) for key, spec in keys.items()}
 
-    def value(self, table: dict[str, Any], name: str, key: str, spec: Key) -> Any:
+    def value(
+        self, table: dict[str, Any], name: str, key: str, spec: FieldInfo, model: type[Table]
+    ) -> Any:
         if key not in table:
             if spec.required:
                 self.fault(name, key, "is missing")
-            return spec.default
+            return _default(spec)
         value = table[key]
-        if spec.kind is float and type(value) is int:
-            value = float(value)
-        if type(value) is not spec.kind:
-            self.fault(name, key, f"is not {_kind(spec.kind)}: {_shown(value)}")
-            return spec.default
-        size: Any = len(value) if isinstance(value, (str, list)) else value
-        if spec.least is not None and not size >= spec.least:
-            self.fault(name, key, f"must be at least {spec.least:g}: {_shown(value)}")
-        elif spec.most is not None and not size <= spec.most:
-            self.fault(name, key, f"must be at most {spec.most:g}: {_shown(value)}")
-        elif spec.among and value not in spec.among:
-            self.fault(name, key, f"must be one of {', '.join(spec.among)}: {_shown(value)}")
-        elif spec.check is not None and (wrong := spec.check(value)):
+        try:
+            made = msgspec.convert(value, type=spec.type)
+        except msgspec.ValidationError as fault:
+            self.fault(name, key, f"{_in_words(str(fault), spec)}: {_shown(value)}")
+            return _default(spec)
+        if made != made:  # a number that is none passes every range
+            self.fault(name, key, f"must be at least {_least(spec):g}: {_shown(value)}")
+            return _default(spec)
+        check = model.CHECKS.get(key)
+        wrong = check(made) if check is not None else None
+        if wrong is not None:
             self.fault(name, key, f"{wrong}: {_shown(value)}")
-        else:
-            return value
-        return spec.default
+            return _default(spec)
+        return made
 
-    def named(self, value: Any, name: str, keys: Mapping[str, Key]) -> dict[str, dict[str, Any]]:
+    def named(self, value: Any, name: str, model: type[Table]) -> dict[str, dict[str, Any]]:
         """A table of tables, by names that operators choose."""
         if not isinstance(value, dict) or not value:
             self.fault(name, "", "needs at least one table of its own, as in [" + name + ".NAME]")
             return {}
-        return {item: self.table(value[item], f"{name}.{item}", keys) for item in value}
+        return {item: self.table(value[item], f"{name}.{item}", model) for item in value}
+
 
+@cache
+def _fields(model: type[Table]) -> dict[str, FieldInfo]:
+    return {item.name: item for item in msgspec.structs.fields(model)}
 
-def _kind(kind: type) -> str:
-    words = {str: "a text", int: "a whole number", float: "a number", bool: "true or false", list: "a list"}
-    return words[kind]
+
+def _default(spec: FieldInfo) -> Any:
+    if spec.default_factory is not NODEFAULT:
+        return spec.default_factory()
+    return None if spec.default is NODEFAULT else spec.default
+
+
+def _least(spec: FieldInfo) -> float:
+    meta = get_args(spec.type)[1]
+    return float(meta.ge)
+
+
+KINDS = {
+    "str": "a text", "int": "a whole number", "float": "a number", "bool": "true or false", "array": "a list",
+}  # fmt: skip
+BOUNDS = {">=": "at least", "<=": "at most"}
+
+
+def _in_words(said: str, spec: FieldInfo) -> str:
+    """What msgspec says of a value, for whoever wrote the file."""
+    if found := re.match(r"Expected `(\w+)`(?: of length)? (>=|<=) ([-+.\w]+)", said):
+        return f"must be {BOUNDS[found[2]]} {float(found[3]):g}"
+    if found := re.match(r"Expected `(\w+)`, got", said):
+        return f"is not {KINDS.get(found[1], found[1])}"
+    if said.startswith("Invalid enum value"):
+        return f"must be one of {', '.join(get_args(spec.type))}"
+    return said
 
 
 def _shown(value: Any) -> str:
@@ -254,7 +322,7 @@
         raise BadDocument(path, [Fault("", "", f"is not UTF-8: {fault.reason}")]) from None
     except (tomllib.TOMLDecodeError, RecursionError, ValueError) as fault:
         raise BadDocument(path, [Fault("", "", f"is not TOML: {fault}")]) from None
-    return check(top, path)
+    return dataclasses.replace(check(top, path), text=data)
 
 
 def check(top: dict[str, Any], path: Path) -> Document:
@@ -265,12 +333,13 @@
             checker.unknown("", key, TOP)
     document = Document(
         path=path,
-        daemon=checker.table(top.get("daemon", {}), "daemon", DAEMON),
-        listeners=checker.named(top.get("listeners"), "listeners", LISTENER),
-        classes=checker.named(top.get("classes"), "classes", CLASS),
-        limits=checker.table(top.get("limits", {}), "limits", LIMITS),
-        rules=checker.table(top.get("rules", {}), "rules", RULES),
-        membership=checker.table(top.get("membership", {}), "membership", MEMBERSHIP),
+        daemon=checker.table(top.get("daemon", {}), "daemon", Daemon),
+        log=checker.table(top.get("log", {}), "log", Log),
+        listeners=checker.named(top.get("listeners"), "listeners", Listener),
+        classes=checker.named(top.get("classes"), "classes", Class),
+        limits=checker.table(top.get("limits", {}), "limits", Limits),
+        rules=checker.table(top.get("rules", {}), "rules", Rules),
+        membership=checker.table(top.get("membership", {}), "membership", Membership),
     )
     _cross(document, checker)
     if checker.faults:
@@ -315,7 +384,7 @@
     servers, ids = [], set()
     for number, server in enumerate(membership["servers"]):
         where = f"membership.servers.{number}"
-        table = checker.table(server, where, SERVER)
+        table = checker.table(server, where, Server)
         if table["id"] in ids:
             checker.fault(where, "id", f"is there twice: {_shown(table['id'])}")
         ids.add(table["id"])
@@ -323,19 +392,15 @@
     membership["servers"] = servers
 
 
-def instance_table(document: Document, number: int) -> dict[str, Any]:
-    """The terms of one instance, in the form that `sorrelfront.platform.config.parse` reads."""
+def instance_table(document: Document, number: int, known: Any = None) -> dict[str, Any]:
+    """The terms of one instance, in the form that `sorrelfront.platform.config.parse` reads. `known`: the
+    list of servers, if it has been worded before."""
     daemon, membership, limits, rules = (
         document.daemon, document.membership, document.limits, document.rules,
     )  # fmt: skip
     fixed = membership["source"] == "fixed"
-    members = [
-        {
-            "id": server["id"], "host_port": server["address"], "locality": server["zone"],
-            "flavor": server["kind"], "cell": server["cell"], "size": server["size"], "phase": "ready",
-        }
-        for server in membership["servers"]
-    ]  # fmt: skip
+    if known is None:
+        known = {"revision": 0, "complete": True, "members": [*map(_member, membership["servers"])]}
     first = next(iter(document.listeners.values()))
     return {
         "name": f"{daemon['name']}-i{number}",
@@ -345,7 +410,7 @@
         "source": membership["source"],
         "seed": f"{(daemon['seed'] * INSTANCES_MOST + number) & (2**64 - 1):x}",
         "limits": {"memory_mb": daemon["memory_mb"], "sockets": daemon["sockets"]},
-        "known": {"revision": 0, "complete": True, "members": members},
+        "known": known,
         "settings": {
             "grades": [_grade(name, cls) for name, cls in document.classes.items()],
             "instances": daemon["instances"],
@@ -372,6 +437,13 @@
     }
 
 
+def _member(server: dict[str, Any]) -> dict[str, Any]:
+    return {
+        "id": server["id"], "host_port": server["address"], "locality": server["zone"],
+        "flavor": server["kind"], "cell": server["cell"], "size": server["size"], "phase": "ready",
+    }  # fmt: skip
+
+
 def _grade(name: str, cls: dict[str, Any]) -> dict[str, Any]:
     return {
         "name": name,
--- a/sorrelfront/daemon/control.py
+++ b/sorrelfront/daemon/control.py
@@ -1,7 +1,8 @@
 """The control socket: Unix, for its owner alone, length-framed JSON.
 
 A frame is a length of four bytes, most significant first, and as many bytes of JSON, an object. A connection
-carries requests and their answers in turn. Whatever else comes closes it.
+carries requests and their answers in turn. An answer whose `instances` are too many for a frame comes in
+parts: each but the last says `more`. Whatever else comes closes the connection.
 """
 
 from __future__ import annotations
@@ -15,14 +16,15 @@
 import struct
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+
+from sorrelfront.daemon.channel import Message, bind_private, is_owner
 
 FRAME_MOST = 64 * 1024  # bytes, either way
 PEERS_MOST = 16  # connections at once; more are closed at once
+PARTS_MOST = 256  # frames of one answer
 SPEAK_S = 5.0  # for a peer's whole request, and for it to take the answer
 HEAD = struct.Struct(">I")
 
-Message = dict[str, Any]
 Handler = Callable[[Message], Awaitable[Message]]
 
 
@@ -30,6 +32,10 @@
     """No daemon answers there, or not as one does."""
 
 
+class NobodyThere(Unavailable):
+    """No daemon has the socket."""
+
+
 class Control:
     """Serves the socket. Each peer has a task of its own, so a slow one holds up nobody."""
 
@@ -58,7 +64,7 @@
         task = asyncio.current_task()
         assert task is not None
         try:
-            if len(self._peers) < PEERS_MOST and _is_owner(writer.get_extra_info("socket")):
+            if len(self._peers) < PEERS_MOST and is_owner(writer.get_extra_info("socket")):
                 self._peers.add(task)
                 await self._converse(reader, writer)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
@@ -72,27 +78,19 @@
             async with asyncio.timeout(SPEAK_S):
                 message = await _read(reader)
             answer = await self._handler(message)
-            writer.write(_frame(answer))
-            async with asyncio.timeout(SPEAK_S):
-                await writer.drain()
+            for part in _parts(answer):
+                writer.write(_frame(part))
+                async with asyncio.timeout(SPEAK_S):
+                    await writer.drain()
 
 
 def _bind(path: Path) -> socket.socket:
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-    try:
-        with contextlib.suppress(FileNotFoundError):
-            if stat.S_ISSOCK(os.stat(path).st_mode) and not _answers(path):
-                path.unlink()  # left behind by one that was killed
-        before = os.umask(0o177)
-        try:
-            sock.bind(str(path))
-        finally:
-            os.umask(before)
-        sock.setblocking(False)
-        sock.listen(PEERS_MOST)
-    except BaseException:
-        sock.close()
-        raise
+    with contextlib.suppress(FileNotFoundError):
+        if stat.S_ISSOCK(os.stat(path).st_mode) and not _answers(path):
+            path.unlink()  # left behind by one that was killed
+    sock = bind_private(socket.SOCK_STREAM, path)
+    sock.setblocking(False)
+    sock.listen(PEERS_MOST)
     return sock
 
 
@@ -108,12 +106,6 @@
     return True
 
 
-def _is_owner(sock: socket.socket) -> bool:
-    """Whether the peer is the daemon's own user, or root, by the kernel's word: SO_PEERCRED."""
-    _, uid, _ = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))
-    return uid in (0, os.geteuid())
-
-
 def _frame(message: Message) -> bytes:
     data = json.dumps(message).encode()
     if len(data) > FRAME_MOST:
@@ -121,6 +113,20 @@
     return HEAD.pack(len(data)) + data
 
 
+def _parts(answer: Message) -> list[Message]:
+    """The answer in pieces that fit a frame, if its instances can be spread over several."""
+    rows = answer.get("instances")
+    size = len(json.dumps(answer))
+    if size <= FRAME_MOST or not isinstance(rows, list) or not rows:
+        return [answer]
+    most = max(1, len(rows) * FRAME_MOST // (2 * size))  # rows differ in length
+    chunks = [rows[at : at + most] for at in range(0, len(rows), most)]
+    parts: list[Message] = [{**answer, "instances": chunks[0], "more": True}]
+    parts += [{"instances": chunk, "more": True} for chunk in chunks[1:]]
+    del parts[-1]["more"]
+    return parts
+
+
 async def _read(reader: asyncio.StreamReader) -> Message:
     """One frame. Raises ValueError if it is none."""
     (length,) = HEAD.unpack(await reader.readexactly(HEAD.size))
@@ -142,10 +148,19 @@
         async with asyncio.timeout(within_s):
             reader, writer = await asyncio.open_unix_connection(path, limit=FRAME_MOST)
             writer.write(_frame(message))
-            return await _read(reader)
+            whole = answer = await _read(reader)
+            for _ in range(PARTS_MOST):
+                if not answer.get("more"):
+                    whole.pop("more", None)
+                    return whole
+                answer = await _read(reader)
+                whole["instances"] += answer["instances"]
+            raise ValueError("an answer without end")
     except TimeoutError:
         raise Unavailable(f"{path}: no answer in {within_s:g} s") from None
-    except (OSError, EOFError, ValueError) as fault:
+    except (FileNotFoundError, ConnectionRefusedError):
+        raise NobodyThere(f"{path}: nobody answers") from None
+    except (OSError, EOFError, ValueError, KeyError, TypeError) as fault:
         raise Unavailable(f"{path}: {fault or type(fault).__name__}") from None
     finally:
         if writer is not None:
--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -1,7 +1,10 @@
 """One instance: a process with one balancer, told by its supervisor over a channel what to do.
 
-`python -m sorrelfront.daemon.instance FD NAME`, started by the supervisor alone. When the channel ends, the
-supervisor is gone: the instance finishes what it owes and ends. Risk: an orphan serves on by old terms.
+`python -m sorrelfront.daemon.instance FD NAME RUN FOLDER FORMAT LEVEL`, started by the supervisor alone.
+When the channel ends, the supervisor is gone: the instance serves on by the terms that it has, for
+`orphan_ms`, and can be found at its door (`door.py`) by the supervisor that comes next. Nobody having come,
+it finishes what it owes and ends. Risk: an orphan serves on by old terms; hence the bound. An instance
+without terms, or one whose supervisor was not in charge yet (a replacement under way), ends at once.
 """
 
 from __future__ import annotations
@@ -9,19 +12,24 @@
 import asyncio
 import gc
 import logging
+import os
 import signal
 import socket
 import sys
 import time
+from pathlib import Path
 from typing import Any
 
 from sorrelfront.agent import Agent, Source
+from sorrelfront.daemon import logs
 from sorrelfront.daemon.channel import BadMessage, Message, receive, send
-from sorrelfront.decisions.learnt import Unusable, adopt, snapshot
+from sorrelfront.daemon.door import Door
+from sorrelfront.daemon.processes import start_ticks
+from sorrelfront.decisions.adoption import PROTOCOL, Life
+from sorrelfront.decisions.learnt import KEPT_MOST_US, Unusable, adopt, snapshot
 from sorrelfront.fronts.http1 import Listener
 from sorrelfront.messages import Address, Update
 from sorrelfront.net.budget import BodyBudget, Descriptors
-from sorrelfront.platform.__main__ import Sparse
 from sorrelfront.platform.config import BadConfig, Config, parse
 from sorrelfront.signals import ignore_from_here, on_signal
 from sorrelfront.sources import registry
@@ -55,8 +63,17 @@
 class Instance:
     """The parts of one instance, and what its supervisor may have it do."""
 
-    def __init__(self, channel: socket.socket) -> None:
-        self._channel = channel
+    def __init__(self, channel: socket.socket, name: str, run: int, folder: Path) -> None:
+        """Raises OSError if its door cannot be opened."""
+        self._channel: socket.socket | None = channel
+        self._name = name
+        self._run = run
+        self._generation = 0
+        self._digest = ""
+        self._provisional = True  # the supervisor is not in charge yet
+        self._orphan_s = 0.0
+        self._orphan_timer: asyncio.TimerHandle | None = None
+        self._door = Door(folder, name, self._hello, self._adopted, self._others_come)
         self._agent: Agent | None = None
         self._table: Message = {}
         self._config: Config | None = None
@@ -70,22 +87,95 @@
         self.others = False
 
     def watch(self) -> None:
+        assert self._channel is not None
         asyncio.get_running_loop().add_reader(self._channel.fileno(), self._heard)
 
-    def _heard(self) -> None:
-        try:
-            got = receive(self._channel)
-        except BlockingIOError:
+    def say(self, message: Message) -> None:
+        """To the supervisor, if there is one."""
+        if self._channel is not None:
+            send(self._channel, message)
+
+    # Without a supervisor
+
+    @property
+    def life(self) -> Life:
+        if self.going_away.is_set():
+            return Life.LEAVING
+        return Life.STARTING if self._agent is None else Life.READY
+
+    def _orphaned(self) -> None:
+        """The channel has ended."""
+        channel, self._channel = self._channel, None
+        assert channel is not None
+        asyncio.get_running_loop().remove_reader(channel.fileno())
+        channel.close()
+        if self.going_away.is_set():
             return
-        except BadMessage as fault:
-            log.warning("%s", fault)
-            return
-        if got is None:
-            asyncio.get_running_loop().remove_reader(self._channel.fileno())
-            log.warning("the supervisor is gone")
+        if self._agent is None or self._provisional or self._orphan_s <= 0:
+            log.warning("the supervisor is gone; draining")
+            self.others = self._provisional  # those of the program before go on accepting
             self.going_away.set()
             return
-        message, descriptors = got
+        log.warning("the supervisor is gone; serving on for %g s", self._orphan_s)
+        self._orphan_timer = asyncio.get_running_loop().call_later(self._orphan_s, self._nobody_came)
+
+    def _nobody_came(self) -> None:
+        log.warning("no supervisor came; draining")
+        self.going_away.set()
+
+    def _hello(self) -> tuple[Message, list[int]]:
+        """What a supervisor asks of one that it does not know."""
+        if self._channel is not None:
+            self._heard()  # its end may be known to the kernel only
+        listeners = [*self._listeners.values()]
+        message = {
+            "op": "hello", "protocol": PROTOCOL, "name": self._name, "pid": os.getpid(), "run": self._run,
+            "ticks": start_ticks(os.getpid()), "generation": self._generation, "digest": self._digest,
+            "life": self.life.value, "orphan": self._channel is None,
+        }  # fmt: skip
+        return message, [item.fileno() for item in listeners if item.fileno() >= 0]
+
+    def _others_come(self) -> None:
+        """A supervisor has taken the listening sockets; if this one is leaving, it leaves the queue to it."""
+        if self.going_away.is_set():
+            self.others = True
+            for listener in self._listeners.values():
+                listener.hand_over()
+
+    def _adopted(self, message: Message, channel: socket.socket) -> str | None:
+        """Take this connection as the channel, or tell why not."""
+        if self._channel is not None:
+            self._heard()
+        if self._channel is not None:
+            return "it has a supervisor"
+        if self.going_away.is_set():
+            return "it is leaving already"
+        if self._orphan_timer is not None:
+            self._orphan_timer.cancel()
+            self._orphan_timer = None
+        self._channel = channel
+        self._provisional = False
+        asyncio.get_running_loop().call_soon(self.watch)  # once the door has let go of it
+        log.info("another supervisor has taken over")
+        return None
+
+    # Told by the supervisor
+
+    def _heard(self) -> None:
+        while self._channel is not None:
+            try:
+                got = receive(self._channel)
+            except BlockingIOError:
+                return
+            except BadMessage as fault:
+                log.warning("%s", fault)
+                continue
+            if got is None:
+                self._orphaned()
+                return
+            self._told(*got)
+
+    def _told(self, message: Message, descriptors: list[int]) -> None:
         sockets = [socket.socket(fileno=descriptor) for descriptor in descriptors]
         match message.get("op"):
             case "start" | "reload" | "commit" if self.going_away.is_set():
@@ -96,6 +186,8 @@
                 self._take(message, sockets)
             case "commit":
                 self._settle()
+            case "charge":
+                self._provisional = False
             case "learnt":
                 self._tell_learnt(message.get("id"))
             case "stop":
@@ -115,10 +207,14 @@
             config = parse(message["table"])
             if self._agent is None:
                 self._learnt = message.get("learnt")
+                self._provisional = bool(message.get("provisional"))
                 self._begin(config, message["table"])
             else:
                 self._change(config, message["table"])
             self._listen(config, sockets)
+            self._generation, self._digest = int(message["generation"]), str(message["digest"])
+            self._orphan_s = float(message["orphan_ms"]) / 1e3
+            self._log_by(message["log"])
         except BadConfig as bad:
             fault = str(bad)
         except Exception as failed:
@@ -132,7 +228,12 @@
             for sock in sockets:
                 if fault is not None or not any(item.owns(sock) for item in self._listeners.values()):
                     sock.close()
-        send(self._channel, {"op": "taken", "id": message.get("id"), "fault": fault})
+        self.say({"op": "taken", "id": message.get("id"), "fault": fault})
+
+    def _log_by(self, told: dict[str, str]) -> None:
+        logs.configure(
+            told["format"], told["level"], instance=self._name, run=self._run, generation=self._generation
+        )
 
     def _begin(self, config: Config, table: Message) -> None:
         descriptors = Descriptors(config.sockets)
@@ -153,7 +254,11 @@
         if agent is None or not isinstance(text, str):
             return
         try:
-            count = adopt(agent.balancer, text, agent.now(), time.time_ns() // 1000)
+            # Estimates fade with `recent_us`; of a long pause, no more than that counts.
+            count = adopt(
+                agent.balancer, text, agent.now(), time.time_ns() // 1000,
+                KEPT_MOST_US, int(agent.balancer.recent_us),
+            )  # fmt: skip
         except Unusable as why:
             log.warning("what was learnt before is not taken up: %s", why)
             return
@@ -162,7 +267,7 @@
     def _tell_learnt(self, number: object) -> None:
         agent = self._agent
         text = "" if agent is None else snapshot(agent.balancer, agent.now(), time.time_ns() // 1000)
-        send(self._channel, {"op": "learnt", "id": number, "text": text})
+        self.say({"op": "learnt", "id": number, "text": text})
 
     def _source(self, config: Config, on_update: Any, on_failure: Any) -> Source:
         def update(heard: Update) -> None:
@@ -214,12 +319,14 @@
             "connections": sum(listener.connections for listener in self._listeners.values()),
             "servers": len(agent.balancer.servers), "ready_servers": len(agent.balancer.ready),
         }  # fmt: skip
-        send(self._channel, {"op": "beat", "figures": figures})
+        self.say({"op": "beat", "figures": figures})
         asyncio.get_running_loop().call_later(BEAT_S, self._beat)
 
     async def close(self) -> None:
         """Finish what is owed, or fail it at once."""
         agent = self._agent
+        if self._orphan_timer is not None:
+            self._orphan_timer.cancel()
         if agent is None:
             return
         if not self.at_once:
@@ -234,31 +341,32 @@
             await asyncio.sleep(FLUSH_S)
         agent.close()
 
+    def shut(self) -> None:
+        """The last step: nobody finds it any more."""
+        self._door.close()
+
 
-async def run(channel: socket.socket) -> None:
-    instance = Instance(channel)
+async def run(channel: socket.socket, name: str, number: int, folder: Path) -> None:
+    instance = Instance(channel, name, number, folder)
     on_signal(signal.SIGTERM, instance.going_away.set)
     instance.watch()
     await instance.going_away.wait()
-    await instance.close()
+    try:
+        await instance.close()
+    finally:
+        instance.shut()
     ignore_from_here(signal.SIGTERM)
 
 
 def main() -> int:
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # a terminal sends it to all; the supervisor decides
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    handler = logging.StreamHandler()
-    handler.addFilter(Sparse())
-    logging.basicConfig(
-        level=logging.INFO,
-        format=f"%(asctime)s %(levelname)s {sys.argv[2]}: %(message)s",
-        handlers=[handler],
-    )
+    logs.configure(sys.argv[5], sys.argv[6], instance=sys.argv[2], run=int(sys.argv[3]))
     gc.freeze()
     gc.set_threshold(5_000, 4, 2)
     channel = socket.socket(fileno=int(sys.argv[1]))
     channel.setblocking(False)
-    asyncio.run(run(channel))
+    asyncio.run(run(channel, sys.argv[2], int(sys.argv[3]), Path(sys.argv[4])))
     return 0
 
 
--- a/sorrelfront/daemon/takeover.py
+++ b/sorrelfront/daemon/takeover.py
@@ -17,7 +17,8 @@
 from typing import Any
 
 from sorrelfront.daemon import control
-from sorrelfront.daemon.channel import BadMessage, Message, receive, send
+from sorrelfront.daemon.adopting import receive_within
+from sorrelfront.daemon.channel import BadMessage, bind_private, prepare, receive, send
 from sorrelfront.messages import Address
 
 ANSWER_WITHIN_S = 10.0  # for the old program to send what it has, or to let go
@@ -28,6 +29,10 @@
     """The running program cannot be replaced now, in one line."""
 
 
+class Bereft(NoTakeover):
+    """The running program ended while it handed over."""
+
+
 @dataclass(slots=True)
 class Estate:
     """What the old program has left: its sockets, and the snapshots by the name of the instance."""
@@ -41,42 +46,23 @@
         self.sockets.clear()
 
 
-async def receive_soon(sock: socket.socket) -> tuple[Message, list[int]] | None:
-    """The next message, waited for. Raises BadMessage, TimeoutError."""
-    loop = asyncio.get_running_loop()
-    async with asyncio.timeout(ANSWER_WITHIN_S):
-        while True:
-            try:
-                return receive(sock)
-            except BlockingIOError:
-                pass
-            readable = asyncio.Event()
-            loop.add_reader(sock.fileno(), readable.set)
-            try:
-                await readable.wait()
-            finally:
-                loop.remove_reader(sock.fileno())
-
-
 class Heir:
     """The new program's side."""
 
     def __init__(self, control_path: Path) -> None:
         self._control = control_path
         self._sock: socket.socket | None = None
+        self.bereft = False  # the old program has ended without a word
 
     async def ask(self) -> Estate:
         """Have the old program send what it has. Raises NoTakeover."""
         path = self._control.parent / f".takeover-{os.getpid()}"
         estate = Estate()
-        with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as inbox, contextlib.ExitStack() as clean:
-            before = os.umask(0o177)
-            try:
-                inbox.bind(str(path))
-            except OSError as fault:
-                raise NoTakeover(f"{path}: {fault.strerror}") from None
-            finally:
-                os.umask(before)
+        try:
+            inbox = bind_private(socket.SOCK_SEQPACKET, path)
+        except OSError as fault:
+            raise NoTakeover(f"{path}: {fault.strerror}") from None
+        with inbox, contextlib.ExitStack() as clean:
             clean.callback(path.unlink, missing_ok=True)
             inbox.listen(1)
             inbox.setblocking(False)
@@ -87,8 +73,12 @@
                     raise NoTakeover("; ".join(map(str, answer.get("faults", ["no answer known here"]))))
                 async with asyncio.timeout(ANSWER_WITHIN_S):
                     self._sock, _ = await asyncio.get_running_loop().sock_accept(inbox)
-                self._sock.setblocking(False)
+                prepare(self._sock)
                 await self._read(estate)
+            except Bereft:
+                estate.close()
+                self.close()
+                raise
             except (control.Unavailable, BadMessage, TimeoutError, OSError) as fault:
                 estate.close()
                 self.close()
@@ -98,9 +88,9 @@
     async def _read(self, estate: Estate) -> None:
         assert self._sock is not None
         for _ in range(PACKETS_MOST):
-            got = await receive_soon(self._sock)
+            got = await receive_within(self._sock, ANSWER_WITHIN_S)
             if got is None:
-                raise BadMessage("the running program ended the take-over")
+                raise Bereft("the running program ended the take-over")
             message, descriptors = got
             for descriptor in descriptors:
                 sock = socket.socket(fileno=descriptor)
@@ -118,18 +108,23 @@
         if self._sock is None or not send(self._sock, {"op": "ready"}):
             return False
         with contextlib.suppress(BadMessage, TimeoutError):
-            got = await receive_soon(self._sock)
+            got = await receive_within(self._sock, ANSWER_WITHIN_S)
             return got is not None and got[0].get("op") == "released"
         return False
 
     def gone(self) -> str | None:
         """What the old program says before it is told anything: why the take-over is off, if it is."""
-        assert self._sock is not None
+        if self._sock is None:
+            return None
         try:
             got = receive(self._sock)
         except (BlockingIOError, BadMessage):
             return None
-        return "the running program is gone" if got is None else str(got[0].get("why", "it is off"))
+        if got is not None:
+            return str(got[0].get("why", "it is off"))
+        self.bereft = True
+        self.close()
+        return None
 
     def close(self) -> None:
         if self._sock is not None:
@@ -145,9 +140,7 @@
         self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         try:
             self.sock.connect(path)
-            self.sock.setblocking(False)
-            for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
-                self.sock.setsockopt(socket.SOL_SOCKET, option, 4 * 1024 * 1024)
+            prepare(self.sock)
         except BaseException:
             self.sock.close()
             raise
--- a/sorrelfront/decisions/supervision.py
+++ b/sorrelfront/decisions/supervision.py
@@ -90,7 +90,10 @@
 class _Instance:
     """One instance over all its runs."""
 
-    __slots__ = ("ends", "failures", "killed", "looping", "name", "phase", "run", "since", "until", "wanted")
+    __slots__ = (
+        "ends", "failures", "killed", "looping", "name", "phase", "run", "since", "surplus", "until",
+        "wanted",
+    )  # fmt: skip
 
     def __init__(self, name: str, now: int) -> None:
         self.name = name
@@ -103,6 +106,7 @@
         self.looping = False
         self.killed = False
         self.wanted = True
+        self.surplus = False  # adopted only to be drained; forgotten with its end
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +135,31 @@
         """The first actions: every instance, at once."""
         return self.on_time(now)
 
+    def on_adopted(self, name: str, run: int, ready: bool, now: int) -> None:
+        """A process of an earlier supervisor is this instance from now on. A name that is not known is one
+        that is adopted only to be drained. Raises ValueError if the instance has a process already."""
+        instance = self._instances.get(name)
+        if instance is None:
+            instance = self._instances[name] = _Instance(name, now)
+            instance.surplus = True
+        if instance.phase is not Phase.BACKOFF:
+            # Risk: two processes of one instance at once.
+            raise ValueError(f"{name} has a process already")
+        instance.run = run
+        if ready:
+            self._enter(instance, Phase.READY, now, self.policy.silent_us)
+        else:
+            self._enter(instance, Phase.STARTING, now, self.policy.start_within_us)
+
+    def on_remembered(self, name: str, failures: int, age_us: int, now: int) -> None:
+        """So many failures in a row were counted before this supervisor started, the last one so long ago.
+        What is past `loop_span_us` is forgiven; a bound holds whatever is said."""
+        instance = self._instances.get(name)
+        if instance is None or failures <= 0 or not 0 <= age_us <= self.policy.loop_span_us:
+            return
+        instance.failures = min(failures, self.policy.loop_ends)
+        instance.ends.extend([now - age_us] * instance.failures)
+
     def on_ready(self, name: str, run: int, now: int) -> list[Action]:
         """It takes requests."""
         instance = self._current(name, run)
@@ -161,6 +190,8 @@
             return []
         if not instance.wanted:
             self._enter(instance, Phase.STOPPED, now, 0)
+            if instance.surplus:
+                del self._instances[name]
             return []
         asked = instance.phase is Phase.STOPPING and not instance.killed
         instance.killed = False
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -122,6 +122,10 @@
         host, port = self._sock.getsockname()
         return host, port
 
+    def fileno(self) -> int:
+        """Of the listening socket; -1 once it is closed."""
+        return self._sock.fileno()
+
     def owns(self, sock: socket.socket) -> bool:
         return self._sock is sock
 
@@ -150,24 +154,32 @@
         until = time.monotonic() + self.agent.longest_deadline_us / 1e6 + GOING_AWAY_MORE_S
         self.closing = True
         if others:
-            self._pause()
-            self._sock.close()
+            self.hand_over()
         await asyncio.sleep(GOING_AWAY_S)
-        if not others:
-            await self._end_accepting(until)
+        await self._end_accepting(until)
         while self._clients and time.monotonic() < until:
             self._end_resting()
             if self._clients:
                 await self._change(until)
         self._sweeping.cancel()
 
+    def hand_over(self) -> None:
+        """Processes that go on share the queue: take nothing further from it. Risk: shortened or emptied by
+        one that goes away, their queue refuses who comes to them."""
+        self._pause()
+        self._sock.close()
+
     async def _end_accepting(self, until: float) -> None:
         # Risk: clients that connect anew after each answer keep the backlog from ever being empty, and what
         # is taken from it late ends after this agent does. Who waits there now is served as room comes.
+        if self._sock.fileno() < 0:
+            return
         self._sock.listen(0)
         last = self._accepted + self._backlog()
         while self._accepted < last and self._backlog() and time.monotonic() < until:
             await asyncio.sleep(AWAITED_S)
+            if self._sock.fileno() < 0:  # handed over meanwhile
+                return
         self._accept()  # who has come since
         self._pause()
         self._sock.close()
--- a/sorrelfront/lab/crowd.py
+++ b/sorrelfront/lab/crowd.py
@@ -85,6 +85,7 @@
         self.answered = 0
         self.latencies: list[float] = []  # seconds, of what was served
         self.gap_s = 0.0  # the longest time without an answer to anybody
+        self.longest_wait_s = 0.0  # of one client, from wanting an answer to having one, connects and all
         self.refused_connects = 0
         self.cut_ports: list[int] = []  # our ports of connections that ended without an answer
         self.recovery_s: list[float] = []  # from the next connect after it to that client's next answer
@@ -99,8 +100,10 @@
         peer: Peer | None = None
         asked = 0
         cut_at: float | None = None
+        wants_at: float | None = None
         try:
             while self._asking:
+                wants_at = wants_at or time.monotonic()
                 if peer is None:
                     try:
                         peer = await self._connect()
@@ -109,7 +112,12 @@
                         await asyncio.sleep(0.02)
                         continue
                 asked += 1
-                if not await self._one(peer, f"{self._name}{number}-{asked}", asked):
+                before = self.answered
+                goes_on = await self._one(peer, f"{self._name}{number}-{asked}", asked)
+                if self.answered > before:
+                    self.longest_wait_s = max(self.longest_wait_s, time.monotonic() - wants_at)
+                    wants_at = None
+                if not goes_on:
                     if not peer.told_to_close and cut_at is None:
                         cut_at = time.monotonic()
                     peer.close()
--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import os
+import re
 import subprocess
 import sys
 from pathlib import Path
 from typing import Any
 
+from sorrelfront.cli.main import _count
+from sorrelfront.lab.http1 import Backend
+from tests.daemon.fleet import OK, fleet
 from tests.test_process import ROOT
 
 SHIPPED = str(ROOT / "deploy" / "sorrelfront.toml")
@@ -55,3 +61,49 @@
     assert figures["offered"] == figures["served"] + figures["refused"] + figures["failed"] + figures["lost"]
     assert figures["served"] > 100 and figures["reloads"] == 1 and figures["servers"]["b5"] > 0
     assert [figures[name] for name in ("lost", "doubled", "late_drains", "cold_overruns")] == [0, 0, 0, 0]
+
+
+def test_status_is_readable_at_80_columns_and_by_pipe(tmp_path: Path) -> None:
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with fleet(tmp_path, backend) as made:
+            words = [sys.executable, "-m", "sorrelfront.cli.main", "ctl", str(made.path), "status"]
+            piped = await asyncio.to_thread(
+                subprocess.run, words, cwd=ROOT, capture_output=True, text=True, timeout=60
+            )
+            ours, theirs = os.openpty()
+            environ = {**os.environ, "COLUMNS": "80", "TERM": "xterm"}
+            shown = await asyncio.create_subprocess_exec(
+                *words, cwd=ROOT, env=environ, stdin=theirs, stdout=theirs, stderr=theirs
+            )
+            assert await shown.wait() == 0
+            os.close(theirs)
+            screen = re.sub(r"\x1b\[[0-9;]*m", "", os.read(ours, 65_536).decode())
+            os.close(ours)
+        for text in (piped.stdout, screen):
+            rows = [line.split() for line in text.splitlines()]
+            heading = next(row for row in rows if row[:1] == ["name"])
+            assert heading == ["name", "phase", "run", "pid", "asked", "served", "refused", "failed", "held",
+                               "conns", "servers"]  # fmt: skip
+            assert [row[0] for row in rows if row[1:2] == ["ready"]] == ["i0", "i1"]
+            assert "…" not in text and "2 of 2 ready" in text
+        assert max(len(line) for line in screen.splitlines()) <= 80
+
+    asyncio.run(play())
+
+
+def test_figures_of_many_digits_are_short_in_a_terminal_only() -> None:
+    assert [_count(value, True) for value in (None, 999_999, 1_234_567, 98_765_432_100)] == [
+        "-", "999999", "1235k", "99G",
+    ]  # fmt: skip
+    assert _count(98_765_432_100, False) == "98765432100"
+
+
+def test_ctl_says_that_instances_serve_without_a_daemon(tmp_path: Path) -> None:
+    file = tmp_path / "f.toml"
+    file.write_text(Path(SHIPPED).read_text())
+    folder = tmp_path / "sorrelfront.sock.d"
+    folder.mkdir()
+    (folder / "i0-12.sock").touch()
+    said = run("ctl", str(file), "status").stderr
+    assert "no daemon runs by this file" in said and "1 instances may serve without one" in said
--- a/tests/daemon/fleet.py
+++ b/tests/daemon/fleet.py
@@ -29,6 +29,9 @@
         self.registry = registry
         self.log = folder / "log"
         self.environ: dict[str, str] = {}
+        self.orphan_ms = 0  # a test that ends early leaves no process behind
+        self.more = ""  # further keys of [daemon]
+        self.servers: list[tuple[str, str]] = []  # a fixed list, in place of the registry
         self.tell_registry: Callable[..., None] = print
         self.write()
 
@@ -42,6 +45,10 @@
             + ("window_ms = 4000\n" if name == "book" else "")
             for name in classes
         )
+        membership = f'address = "{self.registry}"'
+        if self.servers:
+            rows = ",\n".join(f'{{ id = "{name}", address = "{place}" }}' for name, place in self.servers)
+            membership = f'source = "fixed"\nservers = [\n{rows}\n]'
         return f"""
 [daemon]
 control = "c.sock"
@@ -49,12 +56,14 @@
 sockets = {changes.get("sockets", 512)}
 reload_within_ms = {changes.get("reload_within_ms", 10_000)}
 hang_after_ms = {changes.get("hang_after_ms", 20_000)}
+orphan_ms = {changes.get("orphan_ms", self.orphan_ms)}
+{self.more}
 restart_first_ms = 50
 [listeners.http]
 address = "{address[0]}:{address[1]}"
 {tables}
 [membership]
-address = "{self.registry}"
+{membership}
 """
 
     def write(self, **changes: Any) -> None:
@@ -76,8 +85,10 @@
         """By instance."""
         return {item["name"]: item for item in (await self.ask("status"))["instances"]}
 
-    async def ready(self, count: int | None = None) -> dict[str, dict[str, Any]]:
-        async with asyncio.timeout(PATIENCE_S):
+    async def ready(
+        self, count: int | None = None, within_s: float = PATIENCE_S
+    ) -> dict[str, dict[str, Any]]:
+        async with asyncio.timeout(within_s):
             while True:
                 with contextlib.suppress(control.Unavailable):
                     found = await self.status()
@@ -91,6 +102,16 @@
         with contextlib.suppress(ProcessLookupError):
             os.kill(self.process.pid, number)
 
+    def orphans(self) -> list[int]:
+        """Process numbers of the doors that lie in the run folder."""
+        numbers = [path.stem.rpartition("-")[2] for path in self.folder.glob("c.sock.d/*-*.sock")]
+        return [int(number) for number in numbers if number.isdigit()]
+
+    async def kill(self) -> None:
+        """The supervisor alone, without a last word."""
+        self.process.kill()
+        await self.process.wait()
+
     async def ended(self) -> int:
         return await asyncio.wait_for(self.process.wait(), PATIENCE_S)
 
@@ -113,6 +134,9 @@
         if made.process.returncode is None:
             made.process.kill()
             await made.process.wait()
+        for pid in made.orphans():
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(pid, signal.SIGKILL)
         registry.stop()
         for backend in backends:
             backend.stop()
--- /dev/null
+++ b/tests/daemon/test_channel.py
@@ -0,0 +1,71 @@
+"""Messages of any size up to the bound go over; what a sender could still change is refused."""
+
+from __future__ import annotations
+
+import array
+import os
+import socket
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sorrelfront.daemon.channel import MESSAGE_MOST, PACKET_MOST, BadMessage, pair, receive, send
+
+
+@pytest.mark.parametrize("size", [0, PACKET_MOST - 100, PACKET_MOST + 1, 4 * 1024 * 1024, MESSAGE_MOST - 100])
+def test_a_message_and_its_descriptors_arrive_whatever_its_size(size: int) -> None:
+    ours, theirs = pair()
+    before = len(os.listdir("/proc/self/fd"))
+    with ours, theirs, socket.create_server(("127.0.0.1", 0)) as sock:
+        assert send(ours, {"op": "x", "text": "t" * size}, [sock.fileno()])
+        got = receive(theirs)
+        assert got is not None and got[0] == {"op": "x", "text": "t" * size}
+        (descriptor,) = got[1]
+        with socket.socket(fileno=descriptor) as copy:
+            assert copy.getsockname() == sock.getsockname()
+        assert len(os.listdir("/proc/self/fd")) == before + 1  # the listening socket
+    with pytest.raises(ValueError, match="bytes"):
+        send(ours, {"text": "t" * MESSAGE_MOST})
+
+
+def raw(data: bytes, descriptors: list[int]) -> None:
+    """What a peer may send in place of a sealed message: refused, and no descriptor is left open."""
+    ours, theirs = pair()
+    with ours, theirs:
+        before = len(os.listdir("/proc/self/fd"))
+        rights = (socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", descriptors))
+        ours.sendmsg([data], [rights] if descriptors else [])
+        with pytest.raises(BadMessage):
+            receive(theirs)
+        assert len(os.listdir("/proc/self/fd")) == before
+
+
+def test_a_descriptor_that_is_not_sealed_or_no_memory_is_refused() -> None:
+    memory = os.memfd_create("m", os.MFD_ALLOW_SEALING)
+    os.write(memory, b"{}")
+    reader, writer = os.pipe()
+    try:
+        words = b'{"op":"sealed","bytes":2}'
+        raw(words, [memory])
+        raw(words, [reader])
+        raw(words, [])
+        raw(b'{"op":"sealed","bytes":%d}' % (MESSAGE_MOST + 1), [memory])
+        raw(b'{"op":"sealed"}', [memory])
+        raw(b"[]", [memory, reader])
+    finally:
+        for descriptor in (memory, reader, writer):
+            os.close(descriptor)
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.binary(min_size=1, max_size=200))
+def test_any_packet_is_a_message_or_refused(data: bytes) -> None:
+    ours, theirs = pair()
+    with ours, theirs:
+        ours.send(data)
+        try:
+            got = receive(theirs)
+        except BadMessage:
+            return
+        assert got is not None and isinstance(got[0], dict) and not got[1]
--- a/tests/daemon/test_control.py
+++ b/tests/daemon/test_control.py
@@ -13,7 +13,9 @@
 from hypothesis import strategies as st
 
 from sorrelfront.daemon import control
-from sorrelfront.daemon.control import FRAME_MOST, HEAD, PEERS_MOST, Control, Message, Unavailable, ask
+from sorrelfront.daemon.channel import Message
+from sorrelfront.daemon.configuration import INSTANCES_MOST
+from sorrelfront.daemon.control import FRAME_MOST, HEAD, PEERS_MOST, Control, Unavailable, ask
 from sorrelfront.lab.http1 import PATIENCE_S
 
 NOISE = st.one_of(
@@ -109,3 +111,23 @@
             await ask(path, {})
 
     asyncio.run(play())
+
+
+def test_a_status_of_the_largest_fleet_comes_whole() -> None:
+    rows = [{"name": f"i{at}", "phase": "ready", "figures": "f" * (at * 4)} for at in range(INSTANCES_MOST)]
+
+    async def answer(message: Message) -> Message:
+        return {"ok": True, "name": "n", "instances": rows[: message["count"]]}
+
+    async def test(path: Path) -> None:
+        control = Control(path, answer)
+        await control.start()
+        try:
+            for count in (0, 1, 17, INSTANCES_MOST):
+                told = await ask(path, {"op": "status", "count": count})
+                assert told == {"ok": True, "name": "n", "instances": rows[:count]}
+        finally:
+            await control.close()
+
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(test(Path(folder) / "c"))
--- a/tests/daemon/test_fleet.py
+++ b/tests/daemon/test_fleet.py
@@ -337,10 +337,24 @@
         self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
         self.sock.bind(str(self.path))
+        self.store: dict[str, list[int]] = {}  # descriptors that it was told to keep, by name
 
     async def told(self) -> str:
+        """The next state; what it is told of its store is done, and passed over."""
         async with asyncio.timeout(PATIENCE_S):
-            return (await asyncio.get_running_loop().sock_recv(self.sock, 4_096)).decode()
+            while True:
+                try:
+                    data, descriptors, _, _ = socket.recv_fds(self.sock, 4_096, 64)
+                except BlockingIOError:
+                    await asyncio.sleep(0.005)
+                    continue
+                words = dict(line.split("=", 1) for line in data.decode().split("\n"))
+                if "FDSTORE" not in words and "FDSTOREREMOVE" not in words:
+                    return data.decode()
+                for descriptor in self.store.pop(words["FDNAME"], []):
+                    os.close(descriptor)
+                if "FDSTORE" in words:
+                    self.store[words["FDNAME"]] = descriptors
 
 
 def test_the_service_manager_passes_sockets_and_is_told_the_states(tmp_path: Path) -> None:
--- a/tests/decisions/test_learnt.py
+++ b/tests/decisions/test_learnt.py
@@ -10,7 +10,15 @@
 
 from sorrelfront.decisions.balancer import Balancer
 from sorrelfront.decisions.interface import Backend, BackendList, ListKind, Outcome
-from sorrelfront.decisions.learnt import AGE_MOST_US, TEXT_MOST, VERSION, Unusable, adopt, snapshot
+from sorrelfront.decisions.learnt import (
+    AGE_MOST_US,
+    SERVERS_MOST,
+    TEXT_MOST,
+    VERSION,
+    Unusable,
+    adopt,
+    snapshot,
+)
 from tests.helpers import SAFE, balancer, ended, request, sends
 
 NOW = 50_000_000
@@ -85,7 +93,7 @@
     assert len(text) <= TEXT_MOST
     new = Balancer(balancer().settings, 1, 0)
     new.on_list(BackendList(ListKind.FULL, tuple(server.info for server in made.servers.values())), 0)
-    assert 0 < adopt(new, text, 20, UNIX) <= 512
+    assert 0 < adopt(new, text, 20, UNIX) <= SERVERS_MOST
 
 
 @settings(derandomize=True, deadline=None, max_examples=300)
