--- a/sorrelfront/daemon/supervisor.py
+++ b/sorrelfront/daemon/supervisor.py
@@ -152,6 +152,8 @@
     async def _adopt(self, journal: Journal | None) -> None:
         if journal is not None:
             self.fleet.generation = max(self.fleet.generation, journal.generation)
+        if not self._begun:
+            self.fleet.decide.hold()
         within_s = min(SURVEY_MOST_S, self.fleet.document.daemon["hang_after_ms"] / 1e3)
         found = await survey(self._folder, journal, within_s)
         if not found:
--- a/sorrelfront/decisions/supervision.py
+++ b/sorrelfront/decisions/supervision.py
@@ -126,13 +126,20 @@
     def __init__(self, names: Iterable[str], policy: Policy, seed: int, now: int) -> None:
         self.policy = policy
         self.stopping = False
+        self._holds = False
         self._random = Random(seed).random
         self._instances = {name: _Instance(name, now) for name in names}
 
     # Events
 
+    def hold(self) -> None:
+        """Start nothing until `start`. Risk: while the processes of an earlier supervisor are adopted one
+        by one, those that come later would be started a second time."""
+        self._holds = True
+
     def start(self, now: int) -> list[Action]:
-        """The first actions: every instance, at once."""
+        """The first actions: every instance that has no process, at once."""
+        self._holds = False
         return self.on_time(now)
 
     def on_adopted(self, name: str, run: int, ready: bool, now: int) -> None:
@@ -251,7 +258,7 @@
         """What is overdue by now."""
         actions: list[Action] = []
         for instance in self._instances.values():
-            if now < instance.until or instance.phase is Phase.STOPPED:
+            if now < instance.until or not self._waits(instance):
                 continue
             match instance.phase:
                 case Phase.BACKOFF:
@@ -268,8 +275,7 @@
 
     def next_us(self) -> int | None:
         """When `on_time` has something to do at the soonest; None while nothing waits."""
-        times = [item.until for item in self._instances.values() if item.phase is not Phase.STOPPED]
-        return min(times, default=None)
+        return min((item.until for item in self._instances.values() if self._waits(item)), default=None)
 
     # What is known
 
@@ -290,6 +296,12 @@
 
     # Steps
 
+    def _waits(self, instance: _Instance) -> bool:
+        """Whether time alone has something done to it."""
+        if instance.phase is Phase.BACKOFF:
+            return not self._holds
+        return instance.phase is not Phase.STOPPED
+
     def _current(self, name: str, run: int) -> _Instance | None:
         """Risk: what an earlier run's process says late, or its end, taken for the present one's."""
         instance = self._instances.get(name)
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -10,9 +10,10 @@
 import struct
 import time
 from collections import OrderedDict, deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from itertools import chain, islice
+from typing import Protocol
 from urllib.parse import parse_qs, unquote
 
 import h11
@@ -21,7 +22,8 @@
 from sorrelfront.decisions.interface import Effect, RequestClass
 from sorrelfront.messages import Address, Answer, Call, Final, Headers, Refused
 from sorrelfront.net.budget import BODY_MOST, BodyBudget, BodyShare, Descriptors
-from sorrelfront.net.http import HEAD_MOST, KERNEL_BUFFER, PIECES_IN_A_ROW, Payload, Wire, end_to_end, frame
+from sorrelfront.net.heads import HEAD_END, HEAD_MOST, RequestHead, framed, request_head
+from sorrelfront.net.http import KERNEL_BUFFER, PIECES_IN_A_ROW, Payload, Wire, end_to_end, frame
 
 log = logging.getLogger(__name__)
 
@@ -63,6 +65,19 @@
         self.status = status
 
 
+class Head(Protocol):
+    """What of a request's head is asked for here, whoever parsed it."""
+
+    @property
+    def method(self) -> bytes: ...
+
+    @property
+    def target(self) -> bytes: ...
+
+    @property
+    def headers(self) -> Iterable[tuple[bytes, bytes]]: ...
+
+
 class _Gone(Exception):
     """The client has closed its connection."""
 
@@ -71,7 +86,7 @@
 class _Turn:
     """A request's place in the order of answers."""
 
-    parser: h11.Connection
+    parser: h11.Connection | None  # None: of a plain request, whose answer is framed directly
     answer: asyncio.Future[Final]
     share: BodyShare | None = None
     held: Held | None = None
@@ -378,7 +393,7 @@
     def turn_away(self, status: int, text: str) -> None:
         """Answer a request that has not come whole, as the last; what still comes of it is read past."""
         self._deaf = True
-        self._push_text(h11.Connection(h11.SERVER), status, text, last=True)
+        self._push_text(None, status, text, last=True)
 
     async def _run(self) -> None:
         try:
@@ -418,21 +433,79 @@
     async def _read_requests(self) -> None:
         rest = b""
         while True:
-            # Each request has a parser of its own: h11 reads no further on one while an answer is due.
-            parser = h11.Connection(h11.SERVER, HEAD_MOST)
+            parser: h11.Connection | None = None
             try:
-                last = await self._read_request(parser, rest)
+                data, at = await self._read_until_head(rest)
+                plain = request_head(data[:at]) if at else None
+                if plain is not None:
+                    last, rest = await self._read_plain(plain, data, at)
+                else:
+                    # Each request has a parser of its own: h11 reads no further on one while an answer is
+                    # due.
+                    parser = h11.Connection(h11.SERVER, HEAD_MOST)
+                    last = await self._read_strictly(parser, data)
+                    rest = parser.trailing_data[0]
             except BadRequest as bad:
                 self._push_text(parser, bad.status, str(bad))
                 last = True
             if last:
                 await self._discard()
-            rest = parser.trailing_data[0]
 
-    async def _read_request(self, parser: h11.Connection, rest: bytes) -> bool:
-        """Read one request and take it. Returns whether it is the last of its connection."""
+    async def _read_until_head(self, data: bytes) -> tuple[bytes, int]:
+        """What has come of the next request, and where its head ends; 0 if that is for h11 to say. Empty
+        lines ahead of a request are passed over (RFC 9112, 2.2)."""
+        data = data.lstrip(b"\r\n")
+        searched = 0
+        if data:
+            self._begins()
+        while True:
+            if data:
+                found = HEAD_END.search(data, searched)
+                if found is not None:
+                    return data, found.end()
+                if data[0] < 0x21 or len(data) > HEAD_MOST:
+                    return data, 0
+                searched = max(0, len(data) - 2)
+            came = await self._receive()
+            if not self._begun:
+                self._blank += len(came)
+                came = came.lstrip(b"\r\n")
+                self._blank -= len(came)
+                if self._blank > BLANK_MOST:  # Risk: nothing else comes
+                    raise BadRequest(400, "no request came")
+                if came:
+                    self._begins()
+            data += came
+
+    async def _read_plain(self, head: RequestHead, data: bytes, at: int) -> tuple[bool, bytes]:
+        """Read the rest of a plain request and take it. Returns whether it is the last of its connection, and
+        what came behind it."""
+        if len(self._turns) >= PIPELINE_MOST:
+            raise BadRequest(429, "too many requests at once on one connection")
+        call = None if _path(head) == READY else parse_call(head, self._agent)
+        if head.length > BODY_MOST:
+            raise BadRequest(413, "the body is too long")
+        body = call.payload.body if call else bytearray()
+        share = self._share = self._listener.bodies.share()
+        end = at + head.length
+        body += data[at:end]
+        share.add(len(body))
+        rest = data[end:]
+        while len(body) < head.length:
+            await share.room()
+            came = await self._receive()
+            missing = head.length - len(body)
+            rest = came[missing:]
+            share.add(min(len(came), missing))
+            body += came[:missing]
+        self._take(None, call, share, head.last)
+        return head.last, rest
+
+    async def _read_strictly(self, parser: h11.Connection, data: bytes) -> bool:
+        """Read one request that is not plain, as far as h11 accepts it, and take it. Returns whether it is
+        the last of its connection."""
         try:
-            head = await self._read_head(parser, rest)
+            head = await self._read_head(parser, data)
             check_framing(head)
             if len(self._turns) >= PIPELINE_MOST:
                 raise BadRequest(429, "too many requests at once on one connection")
@@ -443,6 +516,12 @@
         except h11.RemoteProtocolError as fault:
             status = fault.error_status_hint
             raise BadRequest(status, str(fault)) from None
+        last = parser.their_state is h11.MUST_CLOSE
+        self._take(parser, call, share, last)
+        return last
+
+    def _take(self, parser: h11.Connection | None, call: Call | None, share: BodyShare, last: bool) -> None:
+        """A request has come whole: a call, or the question whether this is ready."""
         self._share = None
         self._begun = False
         share.whole()
@@ -450,7 +529,6 @@
             # Risk: where requests are told apart by id, one of the two would be taken for the other.
             share.release()
             raise BadRequest(409, "a request under this X-Call-Id is open")
-        last = parser.their_state is h11.MUST_CLOSE
         if call is None:
             share.release()
             self._push_text(parser, 503 if self._listener.closing else 200, "going away" if last else "ready")
@@ -458,31 +536,16 @@
         else:
             held = self._agent.take(call)
             self._push(_Turn(parser, held.answer, share, held, last))
-        return last
 
     async def _read_head(self, parser: h11.Connection, rest: bytes) -> h11.Request:
-        rest = rest.lstrip(b"\r\n")
-        if rest:
-            parser.receive_data(rest)
-            self._begins()
+        parser.receive_data(rest)
         while True:
             event = parser.next_event()
             if isinstance(event, h11.Request):
                 return event
             if event is not h11.NEED_DATA:
                 raise _Gone
-            data = await self._receive()
-            if not self._begun:
-                # Empty lines ahead of a request are passed over (RFC 9112, 2.2). Risk: nothing else comes.
-                self._blank += len(data)
-                data = data.lstrip(b"\r\n")
-                self._blank -= len(data)
-                if self._blank > BLANK_MOST:
-                    raise BadRequest(400, "no request came")
-            if data:
-                if not self._begun:
-                    self._begins()
-                parser.receive_data(data)
+            parser.receive_data(await self._receive())
 
     def _begins(self) -> None:
         """The first byte of a request. The first of a connection has its time from the connection's start."""
@@ -552,7 +615,7 @@
             self._writer = asyncio.create_task(self._write_answers())
 
     def _push_text(
-        self, parser: h11.Connection, status: int, text: str, last: bool | None = None
+        self, parser: h11.Connection | None, status: int, text: str, last: bool | None = None
     ) -> None:
         answer: asyncio.Future[Final] = asyncio.get_running_loop().create_future()
         headers = [(b"Retry-After", COME_BACK_S)] if status in (429, 503) else []
@@ -610,6 +673,10 @@
             and self.wire.quiet()
         )
         headers = _headers(answer, close)
+        if turn.parser is None:
+            start = b"HTTP/1.1 %d \r\n" % answer.status
+            await self.wire.send(framed(start, headers, answer.body), STALL_S)
+            return close
         await self.wire.send(_whole(turn.parser, answer, headers), STALL_S)
         return turn.parser.our_state is not h11.DONE
 
@@ -635,7 +702,7 @@
     return headers
 
 
-def _path(head: h11.Request) -> bytes:
+def _path(head: Head) -> bytes:
     return head.target.partition(b"?")[0]
 
 
@@ -651,7 +718,7 @@
         raise BadRequest(400, "a GET here has no body")
 
 
-def parse_call(head: h11.Request, agent: Agent) -> Call:
+def parse_call(head: Head, agent: Agent) -> Call:
     """What the module is told and what goes on to a backend."""
     if head.method not in (b"GET", b"POST"):
         raise BadRequest(405, "the method is neither GET nor POST")
@@ -700,7 +767,7 @@
         raise BadRequest(400, "Idempotency-Key is missing, unreadable or out of place")
 
 
-def _fields(head: h11.Request) -> dict[bytes, bytes | None]:
+def _fields(head: Head) -> dict[bytes, bytes | None]:
     """Each header's value, None of one that comes more than once. Made once: h11's list is slow to walk."""
     fields: dict[bytes, bytes | None] = {}
     for name, value in head.headers:
--- a/sorrelfront/net/http.py
+++ b/sorrelfront/net/http.py
@@ -1,4 +1,5 @@
-"""HTTP/1.1 over non-blocking sockets: h11 parses and frames, asyncio's socket calls move the bytes.
+"""HTTP/1.1 over non-blocking sockets: asyncio's socket calls move the bytes. Plain messages are parsed by
+llhttp (`heads.py`) and framed directly; what is not plain is parsed and framed by h11.
 
 There are no transports in between, so nothing is buffered out of sight: a byte counts as written once the
 kernel has it, what is not asked for is not read, and the peer feels that as backpressure.
@@ -16,10 +17,10 @@
 import h11
 
 from sorrelfront.messages import Headers
+from sorrelfront.net.heads import HEAD_MOST as HEAD_MOST
 
 RECEIVE_BYTES = 65_536  # read at once: a few pieces to the megabyte, and the most a stream holds
 SEND_BYTES = 65_536  # handed to the kernel at once, so that progress shows within a long body
-HEAD_MOST = 16_384  # the longest message head: heads here have hundreds of bytes, a flood has no end
 # Pieces of a body taken before the loop is let go on. Risk: chunks of one byte, ten thousand to a read.
 PIECES_IN_A_ROW = 64
 KERNEL_BUFFER = 131_072  # a socket's buffers. Risk: left to grow, they would hold megabytes a connection
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -11,7 +11,7 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 import h11
@@ -19,8 +19,8 @@
 from sorrelfront.decisions.interface import Outcome
 from sorrelfront.messages import Address, Answer, Call, Ended
 from sorrelfront.net.budget import BODY_MOST, Descriptors
+from sorrelfront.net.heads import HEAD_END, HEAD_MOST, AnswerHead, answer_head, framed
 from sorrelfront.net.http import (
-    HEAD_MOST,
     KERNEL_BUFFER,
     PIECES_IN_A_ROW,
     SEND_BYTES,
@@ -219,9 +219,8 @@
 
     async def _on(self, wire: Wire, rested: bool, at_once: bool) -> Ended | None:
         """The exchange on this connection; None if it broke before the request's last byte was written."""
-        parser = h11.Connection(h11.CLIENT, HEAD_MOST)
         try:
-            data = self._frame(parser)
+            data = self._frame()
         except BaseException:
             self._upstream.drop(wire)
             raise
@@ -229,7 +228,7 @@
         alone = at_once and len(data) <= SEND_BYTES
         writing = self._write(wire, data, rested, at_once)
         writer = None if alone else asyncio.create_task(writing)
-        reader = _AnswerReader(self, parser, wire, writer, rested)
+        reader = _AnswerReader(self, wire, writer, rested)
         try:
             if alone:
                 await writing
@@ -254,18 +253,25 @@
             raise
         return ended
 
-    def _frame(self, parser: h11.Connection) -> bytes:
-        """The request as it goes out. In one piece: each call to the kernel costs as much as framing does."""
+    def _frame(self) -> bytes:
+        """The request as it goes out. In one piece: each call to the kernel costs as much as framing does.
+        Host comes first (RFC 9110, 7.2)."""
         payload: Payload = self._call.payload
-        headers = [*payload.headers, (b"X-Budget", b"%du" % self._timeout_us)]
+        headers = [item for item in payload.headers if item[0] == b"host"]
+        headers += [item for item in payload.headers if item[0] != b"host"]
+        headers.append((b"X-Budget", b"%du" % self._timeout_us))
         if payload.body or payload.method != b"GET":
             headers.append((b"Content-Length", b"%d" % len(payload.body)))
-        head = parser.send(h11.Request(method=payload.method, target=payload.target, headers=headers))
-        assert head is not None
-        if payload.body:
-            parser.send_with_data_passthrough(h11.Data(data=memoryview(payload.body)))  # type: ignore[arg-type]
+        return framed(b"%s %s HTTP/1.1\r\n" % (payload.method, payload.target), headers, payload.body)
+
+    def strict_parser(self) -> h11.Connection:
+        """One that has seen the request go out, for an answer that is not plain."""
+        payload: Payload = self._call.payload
+        parser = h11.Connection(h11.CLIENT, HEAD_MOST)
+        headers = [(b"Host", b"a"), (b"Content-Length", b"0")]
+        parser.send(h11.Request(method=payload.method, target=b"/", headers=headers))
         parser.send(h11.EndOfMessage())
-        return head + payload.body
+        return parser
 
     async def _write(self, wire: Wire, data: bytes, rested: bool, at_once: bool) -> None:
         """Risk: a connection that rested, or is reset as soon as it is up, takes the whole request before the
@@ -305,13 +311,16 @@
     def __init__(
         self,
         exchange: _Exchange,
-        parser: h11.Connection,
         wire: Wire,
         writer: asyncio.Task[None] | None,
         rested: bool,
     ) -> None:
         self._exchange = exchange
-        self._parser = parser
+        self._data = bytearray()  # what has come of a plain answer, or of one that may be
+        self._searched = 0  # so much of it holds no end of a head
+        self._head: AnswerHead | None = None  # of a plain answer
+        self._at = 0  # where its body begins
+        self._strict: h11.Connection | None = None  # parses an answer that is not plain
         self._wire = wire
         self._writer = writer
         self._rested = rested
@@ -367,26 +376,78 @@
             raise _Stale
         self._begun = True
         self.ended = not data
-        self._parser.receive_data(data)
+        if self._strict is not None:
+            self._strict.receive_data(data)
+        else:
+            self._data += data
 
     def _parse(self) -> Ended | None:
-        """What has come so far; None if it is not yet the whole answer. Stops early, with `_pieces` above
-        zero, in an answer of many small pieces."""
+        """What has come so far; None if it is not yet the whole answer. Raises Spoilt, h11's errors."""
+        if self._strict is None:
+            if self._head is None and not self._read_head():
+                return None
+            if self._head is not None:
+                return self._parse_plain(self._head)
+        assert self._strict is not None
+        return self._parse_strictly(self._strict)
+
+    def _read_head(self) -> bool:
+        """Whether more is known by now: a plain head, or that h11 has to judge."""
+        data = self._data
+        if not data and not self.ended:
+            return False
+        found = HEAD_END.search(data, self._searched)
+        if found is not None:
+            self._at = found.end()
+            self._head = answer_head(bytes(data[: self._at]))
+            if self._head is not None:
+                return True
+        elif not self.ended and len(data) <= HEAD_MOST and data[0] >= 0x21:
+            self._searched = max(0, len(data) - 2)
+            return False
+        self._strict = self._exchange.strict_parser()
+        if data:
+            self._strict.receive_data(bytes(data))
+        if self.ended:
+            self._strict.receive_data(b"")
+        self._data = bytearray()
+        return True
+
+    def _parse_plain(self, head: AnswerHead) -> Ended | None:
+        here = len(self._data) - self._at
+        if head.status != 200:
+            # The status has told all, and the module is told at once; see `_skip_body`.
+            self._done(here == head.length and not head.last)
+            return Ended(_outcome(head.status, head.headers))
+        if not self._exchange.sent:
+            raise Spoilt("an answer to a request that was not sent whole")
+        if head.length > BODY_MOST:
+            raise Spoilt("the answer is longer than one may be")
+        if here < head.length:
+            if self.ended:
+                raise Spoilt("the answer broke off")
+            return None
+        self._done(here == head.length and not head.last)
+        body = self._data[self._at : self._at + head.length]
+        return Ended(Outcome.OK, Answer(200, end_to_end(head.headers), body))
+
+    def _parse_strictly(self, parser: h11.Connection) -> Ended | None:
+        """Stops early, with `_pieces` above zero, in an answer of many small pieces."""
         while True:
-            event = self._parser.next_event()
+            event = parser.next_event()
             if event is h11.NEED_DATA:
                 return None
             if self._response is None:
                 if isinstance(event, h11.Response):
                     if event.status_code != 200:
-                        self._skip_body()
-                        return Ended(_outcome(event))
+                        self._skip_body(parser)
+                        return Ended(_outcome(event.status_code, event.headers))
                     if not self._exchange.sent:
                         raise Spoilt("an answer to a request that was not sent whole")
                     self._length = _length(event)
                     self._response = event
                 else:
-                    self._informational(event)
+                    self._informational(parser, event)
             elif isinstance(event, h11.Data):
                 self._body += event.data
                 if len(self._body) > BODY_MOST:
@@ -397,28 +458,28 @@
             elif isinstance(event, h11.EndOfMessage):
                 if self._length is not None and len(self._body) != self._length:
                     raise Spoilt("the answer is not as long as it says")
-                self._done()
+                self._done(_is_whole(parser))
                 return Ended(Outcome.OK, Answer(200, end_to_end(self._response.headers), self._body))
             else:
                 raise Spoilt("the answer broke off")
 
-    def _informational(self, event: object) -> None:
+    def _informational(self, parser: h11.Connection, event: object) -> None:
         """An answer ahead of the one that counts."""
         self._ahead += 1
         known = isinstance(event, h11.InformationalResponse) and event.status_code != 101
         if not known or self._ahead >= INFORMATIONAL_MOST:
             raise Spoilt("no answer came")
-        self._begun = bool(self._parser.trailing_data[0])  # the answer itself may take its time yet
+        self._begun = bool(parser.trailing_data[0])  # the answer itself may take its time yet
 
-    def _skip_body(self) -> None:
+    def _skip_body(self, parser: h11.Connection) -> None:
         """The status has told all, and the module is told at once. What has come by now decides whether the
         connection is kept. Risk: waiting for the rest would hold back the request's next attempt, or its
         final answer."""
         try:
             for _ in range(1 + BODY_MOST // 64):
-                event = self._parser.next_event()
+                event = parser.next_event()
                 if isinstance(event, h11.EndOfMessage):
-                    self._done()
+                    self._done(_is_whole(parser))
                     return
                 if not isinstance(event, h11.Data):
                     break
@@ -429,11 +490,10 @@
     def _written(self) -> bool:
         return self._writer is None or self._writer.done()
 
-    def _done(self) -> None:
-        """The answer is whole. The connection is kept only if both messages are, and nothing is left over."""
-        parser = self._parser
-        whole = parser.our_state is h11.DONE and parser.their_state is h11.DONE
-        if whole and self._exchange.sent and self._written() and not parser.trailing_data[0]:
+    def _done(self, whole: bool) -> None:
+        """The answer has told what it tells. The connection is kept only if both messages are whole,
+        nothing is left over (`whole`), and neither side ends it."""
+        if whole and self._exchange.sent and self._written():
             self._exchange.keep(self._wire)
         else:
             self.close()
@@ -451,7 +511,12 @@
     return lengths[0] if lengths else None
 
 
-def _outcome(response: h11.Response) -> Outcome:
+def _is_whole(parser: h11.Connection) -> bool:
+    done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
+    return done and not parser.trailing_data[0]
+
+
+def _outcome(status: int, headers: Iterable[tuple[bytes, bytes]]) -> Outcome:
     """What a status other than 200 says. Only the backend's own word proves that nothing ran."""
-    rejected = any(name == b"x-rejected" and value == b"1" for name, value in response.headers)
-    return Outcome.REJECTED if rejected and response.status_code in (503, 504) else Outcome.ERROR
+    rejected = any(name == b"x-rejected" and value == b"1" for name, value in headers)
+    return Outcome.REJECTED if rejected and status in (503, 504) else Outcome.ERROR
--- a/tests/decisions/test_adoption.py
+++ b/tests/decisions/test_adoption.py
@@ -115,6 +115,17 @@
     assert decide.on_time(10_000_000)[0] == Start("i0", 5)  # the runs go on from there
 
 
+def test_nothing_is_started_while_processes_are_adopted_one_by_one() -> None:
+    decide = Supervisor(["i0", "i1", "i2"], Policy(), 1, 0)
+    decide.hold()
+    decide.on_adopted("i0", 4, True, 0)
+    assert decide.on_time(1_000) == []
+    assert decide.on_end("i0", 4, 1_000)[1:] == []  # at most a report
+    decide.on_adopted("i1", 2, True, 2_000)
+    assert decide.next_us() == 2_000 + Policy().silent_us
+    assert decide.start(10_000_000 - 1)[-1] == Start("i2", 1)
+
+
 def test_one_adopted_in_its_start_has_the_time_of_a_start() -> None:
     policy = Policy()
     decide = Supervisor(["i0"], policy, 1, 0)
