--- a/tests/daemon/test_adoption.py
+++ b/tests/daemon/test_adoption.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -47,23 +48,38 @@
     assert (await made.ask("reload"))["ok"]
 
 
-def test_a_supervisor_killed_under_load_costs_nothing_and_drains_are_kept(tmp_path: Path) -> None:
-    async def play() -> None:
-        arrivals: list[float] = []
+class Leaving:
+    """A server that is told to drain in the moment of a kill, and its book of arrivals."""
+
+    def __init__(self) -> None:
+        self.arrivals: list[float] = []
+        self.told = 0.0
+        self.backend = Backend(self._note)
+
+    async def _note(self, _: bytes, writer: asyncio.StreamWriter) -> None:
+        self.arrivals.append(time.monotonic())
+        writer.write(OK)
+
+    def leave(self, made: Fleet) -> None:
+        """It is the second one of the fleet's."""
+        self.told = time.monotonic()
+        made.tell_registry(member("b1", self.backend.address, "draining"))
 
-        async def note(_: bytes, writer: asyncio.StreamWriter) -> None:
-            arrivals.append(time.monotonic())
-            writer.write(OK)
+    def kept(self) -> bool:
+        return bool(self.arrivals) and max(self.arrivals) - self.told < 0.55
 
-        leaving, staying = await Backend(note).start(), await Backend(OK).start()
-        async with fleet(tmp_path, leaving, staying) as made:
+
+def test_a_supervisor_killed_under_load_costs_nothing_and_drains_are_kept(tmp_path: Path) -> None:
+    async def play() -> None:
+        leaving, staying = Leaving(), await Backend(OK).start()
+        await leaving.backend.start()
+        async with fleet(tmp_path, staying, leaving.backend) as made:
             await lasting(made)
             before = await pids(made)
             crowd = Crowd(made.address, 40)
             await crowd.more(200)
             await made.kill()
-            told = time.monotonic()
-            made.tell_registry(member("b0", leaving.address, "draining"))
+            leaving.leave(made)
             await crowd.more(200)
             await made.start()
             assert {name: item["pid"] for name, item in (await made.ready()).items()} == before
@@ -75,8 +91,8 @@
             assert (await made.ask("reload"))["ok"]
             await crowd.more(200)
             await crowd.finish()
-        check(crowd, leaving, staying)
-        assert arrivals and max(arrivals) - told < 0.55
+        check(crowd, leaving.backend, staying)
+        assert leaving.kept()
 
     asyncio.run(play())
 
@@ -105,8 +121,9 @@
 
 def test_killed_between_two_instances_of_a_reload_both_come_to_the_file(tmp_path: Path) -> None:
     async def play() -> None:
-        backend = await Backend(OK).start()
-        async with fleet(tmp_path, backend) as made:
+        backend, leaving = await Backend(OK).start(), Leaving()
+        await leaving.backend.start()
+        async with fleet(tmp_path, backend, leaving.backend) as made:
             await lasting(made)
             crowd = Crowd(made.address, 20)
             await crowd.more(50)
@@ -116,10 +133,11 @@
             reload = asyncio.create_task(made.ask("reload"))
             door = next(made.folder.glob(f"c.sock.d/i0-{numbers['i0']}.sock"))
             await until(lambda: _hello(door)["generation"] == 2)  # the first one has taken it
+            os.kill(numbers["i1"], signal.SIGCONT)
             await made.kill()
+            leaving.leave(made)
             with contextlib.suppress(Exception):
                 await reload
-            os.kill(numbers["i1"], signal.SIGCONT)
             await made.start()
             await made.ready()
             assert await pids(made) == numbers
@@ -130,7 +148,8 @@
             assert len(digests) == 1
             await crowd.more(100)
             await crowd.finish()
-        check(crowd, backend)
+        check(crowd, backend, leaving.backend)
+        assert leaving.kept()
 
     asyncio.run(play())
 
@@ -155,8 +174,9 @@
     killed: the old one's instances serve on, and a third program adopts them."""
 
     async def play() -> None:
-        backend = await Backend(OK).start()
-        async with fleet(tmp_path, backend) as made:
+        backend, leaving = await Backend(OK).start(), Leaving()
+        await leaving.backend.start()
+        async with fleet(tmp_path, backend, leaving.backend) as made:
             await lasting(made)
             before = await pids(made)
             crowd = Crowd(made.address, 20)
@@ -169,6 +189,7 @@
                 new.kill()
                 await new.wait()
             await made.kill()
+            leaving.leave(made)
             if which == "both":
                 await crowd.more(50)
                 made.write(instances=2)
@@ -188,15 +209,16 @@
                 await until(lambda: not any(alive(pid) for pid in set(before.values()) - numbers))
             await crowd.more(50)
             await crowd.finish()
-        check(crowd, backend)
+        check(crowd, backend, leaving.backend)
+        assert leaving.kept()
 
     asyncio.run(play())
 
 
 def test_killed_while_it_starts_what_it_began_is_taken_up(tmp_path: Path) -> None:
     async def play() -> None:
-        backend = await Backend(OK).start()
-        async with fleet(tmp_path, backend, instances=4) as made:
+        backend, told = await Backend(OK).start(), await Backend(OK).start()
+        async with fleet(tmp_path, backend, told, instances=4) as made:
             made.signal(signal.SIGTERM)
             assert await made.ended() == 0
             made.orphan_ms = ORPHAN_MS
@@ -204,6 +226,7 @@
             await made.start()
             await until(lambda: len(made.orphans()) >= 2)  # some are there, and not all are ready
             await made.kill()
+            made.tell_registry(member("b1", told.address, "draining"))
             await made.start()
             found = await made.ready()
             assert len({item["pid"] for item in found.values()}) == 4
@@ -213,6 +236,7 @@
             # Nobody is there twice: all that serve are the fleet's.
             await until(lambda: sorted(made.orphans()) == sorted(item["pid"] for item in found.values()))
         check(crowd, backend)
+        assert not told.seen  # it was told to drain before anything was asked
 
     asyncio.run(play())
 
@@ -464,7 +488,9 @@
     asyncio.run(play())
 
 
-@pytest.mark.parametrize("how", ["a file in its place", "gone while it runs", "spoilt records"])
+@pytest.mark.parametrize(
+    "how", ["a file in its place", "gone while it runs", "full while it runs", "spoilt records"]
+)
 def test_state_that_cannot_be_kept_or_trusted_is_no_reason_not_to_serve(tmp_path: Path, how: str) -> None:
     async def play() -> None:
         backend = await Backend(OK).start()
@@ -487,6 +513,10 @@
             if how == "gone while it runs":
                 await until((folder / "learnt").exists)
                 folder.rename(made.folder / "elsewhere")
+            if how == "full while it runs":
+                await until((folder / "learnt").exists)
+                # No file may grow any more: EFBIG of the kernel, as a full disk has ENOSPC.
+                resource.prlimit(made.process.pid, resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
             if how != "spoilt records":
                 async with asyncio.timeout(PATIENCE_S):
                     while not (await made.ask("status"))["state"]["fault"]:
@@ -496,6 +526,10 @@
                 assert (folder / "fleet.bad").exists() and (folder / "learnt.bad").is_fifo()
             if how == "gone while it runs":
                 (made.folder / "elsewhere").rename(folder)
+            if how == "full while it runs":
+                endless = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
+                resource.prlimit(made.process.pid, resource.RLIMIT_FSIZE, endless)
+            if how.endswith("runs"):
                 async with asyncio.timeout(PATIENCE_S):
                     while (await made.ask("status"))["state"]["fault"]:
                         await crowd.more(1)
