--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -10,9 +10,10 @@
 import struct
 import time
 from collections import OrderedDict, deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from itertools import chain, islice
+from typing import Protocol
 from urllib.parse import parse_qs, unquote
 
 import h11
@@ -21,7 +22,8 @@
 from sorrelfront.decisions.interface import Effect, RequestClass
 from sorrelfront.messages import Address, Answer, Call, Final, Headers, Refused
 from sorrelfront.net.budget import BODY_MOST, BodyBudget, BodyShare, Descriptors
-from sorrelfront.net.http import HEAD_MOST, KERNEL_BUFFER, PIECES_IN_A_ROW, Payload, Wire, end_to_end, frame
+from sorrelfront.net.heads import HEAD_END, HEAD_MOST, RequestHead, framed, request_head
+from sorrelfront.net.http import KERNEL_BUFFER, PIECES_IN_A_ROW, Payload, Wire, end_to_end, frame
 
 log = logging.getLogger(__name__)
 
@@ -63,6 +65,19 @@
         self.status = status
 
 
+class Head(Protocol):
+    """What of a request's head is asked for here, whoever parsed it."""
+
+    @property
+    def method(self) -> bytes: ...
+
+    @property
+    def target(self) -> bytes: ...
+
+    @property
+    def headers(self) -> Iterable[tuple[bytes, bytes]]: ...
+
+
 class _Gone(Exception):
     """The client has closed its connection."""
 
@@ -71,7 +86,7 @@
 class _Turn:
     """A request's place in the order of answers."""
 
-    parser: h11.Connection
+    parser: h11.Connection | None  # None: of a plain request, whose answer is framed directly
     answer: asyncio.Future[Final]
     share: BodyShare | None = None
     held: Held | None = None
@@ -378,7 +393,7 @@
     def turn_away(self, status: int, text: str) -> None:
         """Answer a request that has not come whole, as the last; what still comes of it is read past."""
         self._deaf = True
-        self._push_text(h11.Connection(h11.SERVER), status, text, last=True)
+        self._push_text(None, status, text, last=True)
 
     async def _run(self) -> None:
         try:
@@ -418,21 +433,79 @@
     async def _read_requests(self) -> None:
         rest = b""
         while True:
-            # Each request has a parser of its own: h11 reads no further on one while an answer is due.
-            parser = h11.Connection(h11.SERVER, HEAD_MOST)
+            parser: h11.Connection | None = None
             try:
-                last = await self._read_request(parser, rest)
+                data, at = await self._read_until_head(rest)
+                plain = request_head(data[:at]) if at else None
+                if plain is not None:
+                    last, rest = await self._read_plain(plain, data, at)
+                else:
+                    # Each request has a parser of its own: h11 reads no further on one while an answer is
+                    # due.
+                    parser = h11.Connection(h11.SERVER, HEAD_MOST)
+                    last = await self._read_strictly(parser, data)
+                    rest = parser.trailing_data[0]
             except BadRequest as bad:
                 self._push_text(parser, bad.status, str(bad))
                 last = True
             if last:
                 await self._discard()
-            rest = parser.trailing_data[0]
 
-    async def _read_request(self, parser: h11.Connection, rest: bytes) -> bool:
-        """Read one request and take it. Returns whether it is the last of its connection."""
+    async def _read_until_head(self, data: bytes) -> tuple[bytes, int]:
+        """What has come of the next request, and where its head ends; 0 if that is for h11 to say. Empty
+        lines ahead of a request are passed over (RFC 9112, 2.2)."""
+        data = data.lstrip(b"\r\n")
+        searched = 0
+        if data:
+            self._begins()
+        while True:
+            if data:
+                found = HEAD_END.search(data, searched)
+                if found is not None:
+                    return data, found.end()
+                if data[0] < 0x21 or len(data) > HEAD_MOST:
+                    return data, 0
+                searched = max(0, len(data) - 2)
+            came = await self._receive()
+            if not self._begun:
+                self._blank += len(came)
+                came = came.lstrip(b"\r\n")
+                self._blank -= len(came)
+                if self._blank > BLANK_MOST:  # Risk: nothing else comes
+                    raise BadRequest(400, "no request came")
+                if came:
+                    self._begins()
+            data += came
+
+    async def _read_plain(self, head: RequestHead, data: bytes, at: int) -> tuple[bool, bytes]:
+        """Read the rest of a plain request and take it. Returns whether it is the last of its connection, and
+        what came behind it."""
+        if len(self._turns) >= PIPELINE_MOST:
+            raise BadRequest(429, "too many requests at once on one connection")
+        call = None if _path(head) == READY else parse_call(head, self._agent)
+        if head.length > BODY_MOST:
+            raise BadRequest(413, "the body is too long")
+        body = call.payload.body if call else bytearray()
+        share = self._share = self._listener.bodies.share()
+        end = at + head.length
+        body += data[at:end]
+        share.add(len(body))
+        rest = data[end:]
+        while len(body) < head.length:
+            await share.room()
+            came = await self._receive()
+            missing = head.length - len(body)
+            rest = came[missing:]
+            share.add(min(len(came), missing))
+            body += came[:missing]
+        self._take(None, call, share, head.last)
+        return head.last, rest
+
+    async def _read_strictly(self, parser: h11.Connection, data: bytes) -> bool:
+        """Read one request that is not plain, as far as h11 accepts it, and take it. Returns whether it is
+        the last of its connection."""
         try:
-            head = await self._read_head(parser, rest)
+            head = await self._read_head(parser, data)
             check_framing(head)
             if len(self._turns) >= PIPELINE_MOST:
                 raise BadRequest(429, "too many requests at once on one connection")
@@ -443,6 +516,12 @@
         except h11.RemoteProtocolError as fault:
             status = fault.error_status_hint
             raise BadRequest(status, str(fault)) from None
+        last = parser.their_state is h11.MUST_CLOSE
+        self._take(parser, call, share, last)
+        return last
+
+    def _take(self, parser: h11.Connection | None, call: Call | None, share: BodyShare, last: bool) -> None:
+        """A request has come whole: a call, or the question whether this is ready."""
         self._share = None
         self._begun = False
         share.whole()
@@ -450,39 +529,23 @@
             # Risk: where requests are told apart by id, one of the two would be taken for the other.
             share.release()
             raise BadRequest(409, "a request under this X-Call-Id is open")
-        last = parser.their_state is h11.MUST_CLOSE
         if call is None:
             share.release()
-            self._push_text(parser, 503 if self._listener.closing else 200, "going away" if last else "ready")
-            self._turns[-1].last = last
+            closing = self._listener.closing
+            self._push_text(parser, 503 if closing else 200, "going away" if last else "ready", last)
         else:
             held = self._agent.take(call)
             self._push(_Turn(parser, held.answer, share, held, last))
-        return last
 
     async def _read_head(self, parser: h11.Connection, rest: bytes) -> h11.Request:
-        rest = rest.lstrip(b"\r\n")
-        if rest:
-            parser.receive_data(rest)
-            self._begins()
+        parser.receive_data(rest)
         while True:
             event = parser.next_event()
             if isinstance(event, h11.Request):
                 return event
             if event is not h11.NEED_DATA:
                 raise _Gone
-            data = await self._receive()
-            if not self._begun:
-                # Empty lines ahead of a request are passed over (RFC 9112, 2.2). Risk: nothing else comes.
-                self._blank += len(data)
-                data = data.lstrip(b"\r\n")
-                self._blank -= len(data)
-                if self._blank > BLANK_MOST:
-                    raise BadRequest(400, "no request came")
-            if data:
-                if not self._begun:
-                    self._begins()
-                parser.receive_data(data)
+            parser.receive_data(await self._receive())
 
     def _begins(self) -> None:
         """The first byte of a request. The first of a connection has its time from the connection's start."""
@@ -548,41 +611,62 @@
             self._listener.owed(self)
         self._turns.append(turn)
         self._more.set()
-        if self._writer is None:
-            self._writer = asyncio.create_task(self._write_answers())
+        if turn.held is not None:
+            turn.held.told = self._pump
+        self._pump()
 
     def _push_text(
-        self, parser: h11.Connection, status: int, text: str, last: bool | None = None
+        self, parser: h11.Connection | None, status: int, text: str, last: bool | None = None
     ) -> None:
         answer: asyncio.Future[Final] = asyncio.get_running_loop().create_future()
         headers = [(b"Retry-After", COME_BACK_S)] if status in (429, 503) else []
         answer.set_result(Answer(status, headers, text.encode("latin-1", "replace") + b"\n"))
         self._push(_Turn(parser, answer, last=status not in (200, 503) if last is None else last))
 
-    async def _write_answers(self) -> None:
+    def _pump(self) -> None:
+        """Write the answers that are there, in their order, as far as the kernel takes them at once. What
+        it does not take goes on in a task, and the next ones after it."""
+        if self._answered_last:
+            return
         try:
-            while True:
-                while not self._turns:
-                    self._more.clear()
-                    await self._more.wait()
-                if await self._write_answer(self._turns[0]):
-                    break
-                self._done()
+            while self._writer is None and self._turns and self._turns[0].answer.done():
+                data, last = self._word(self._turns[0])
+                sent = self.wire.send_now(data)
+                if sent < len(data):
+                    self._writer = asyncio.create_task(self._write_on(memoryview(data)[sent:], last))
+                    return
+                if self._written(last):
+                    return
         except OSError:
-            # Risk: the client would take what has come for the whole.
-            self._abort = True
-            self.cancel()
-            return
+            self._broken()
         except Exception:
             log.exception("answering a client failed")
-            self._abort = True
-            self.cancel()
+            self._broken()
+
+    async def _write_on(self, rest: memoryview, last: bool) -> None:
+        try:
+            await self.wire.send(rest, STALL_S)
+        except OSError:
+            self._broken()
             return
-        # The last answer: say so, and give the client time to read it before the connection goes.
+        self._writer = None
+        if not self._written(last):
+            self._pump()
+
+    def _broken(self) -> None:
+        # Risk: the client would take what has come for the whole.
+        self._abort = True
+        self.cancel()
+
+    def _written(self, last: bool) -> bool:
+        """An answer has gone out. Whether it was the last: then it has said so, and the client is given
+        time to read it before the connection goes."""
         self._done()
-        self._answered_last = True
-        self.wire.shutdown(socket.SHUT_WR)
-        self._linger = asyncio.get_running_loop().call_later(LINGER_S, self.cancel)
+        if last:
+            self._answered_last = True
+            self.wire.shutdown(socket.SHUT_WR)
+            self._linger = asyncio.get_running_loop().call_later(LINGER_S, self.cancel)
+        return last
 
     def _done(self) -> None:
         turn = self._turns.popleft()
@@ -594,9 +678,9 @@
             self._until = self._answered + (WHOLE_S if self._begun else IDLE_S)
             self._listener.rests(self)
 
-    async def _write_answer(self, turn: _Turn) -> bool:
-        """Write the next answer; whether the connection ends with it."""
-        answer = _worded(await turn.answer)
+    def _word(self, turn: _Turn) -> tuple[bytes, bool]:
+        """The next answer as it goes out, and whether the connection ends with it."""
+        answer = _worded(turn.answer.result())
         if turn.share is not None:
             turn.share.release()
         turn.share = self._listener.bodies.share()
@@ -610,8 +694,11 @@
             and self.wire.quiet()
         )
         headers = _headers(answer, close)
-        await self.wire.send(_whole(turn.parser, answer, headers), STALL_S)
-        return turn.parser.our_state is not h11.DONE
+        if turn.parser is None:
+            start = b"HTTP/1.1 %d \r\n" % answer.status
+            return framed(start, headers, answer.body), close
+        whole = _whole(turn.parser, answer, headers)
+        return whole, turn.parser.our_state is not h11.DONE
 
 
 def _worded(final: Final) -> Answer:
@@ -635,7 +722,7 @@
     return headers
 
 
-def _path(head: h11.Request) -> bytes:
+def _path(head: Head) -> bytes:
     return head.target.partition(b"?")[0]
 
 
@@ -651,13 +738,16 @@
         raise BadRequest(400, "a GET here has no body")
 
 
-def parse_call(head: h11.Request, agent: Agent) -> Call:
+def parse_call(head: Head, agent: Agent) -> Call:
     """What the module is told and what goes on to a backend."""
     if head.method not in (b"GET", b"POST"):
         raise BadRequest(405, "the method is neither GET nor POST")
     fields = _fields(head)
     path, _, query = head.target.partition(b"?")
-    class_name = unquote(path.decode("ascii")).removeprefix("/").partition("/")[0]
+    whole_path = path.decode("ascii")
+    if "%" in whole_path:
+        whole_path = unquote(whole_path)
+    class_name = whole_path.removeprefix("/").partition("/")[0]
     cls = agent.request_class(class_name)
     if not path.startswith(b"/") or cls is None:
         raise BadRequest(404, "the path names no class of request")
@@ -671,7 +761,6 @@
         raise BadRequest(400, "X-Budget is missing or unreadable")
     _check_effect(head.method, fields, cls)
     cost = fields.get(b"x-call-cost") or b""
-    keys = parse_qs(query.decode("ascii")).get("k", [""])
     return Call(
         client_id=client_id,
         class_name=class_name,
@@ -682,7 +771,7 @@
             head.target,
             [(name, value) for name, value in end_to_end(head.headers) if name != b"x-budget"],
         ),
-        key=keys[0],
+        key=_key_of(query),
         tenant=(fields.get(b"x-caller") or b"").decode("latin-1"),
         cost_hint_us=int(cost) if cost.isdigit() and len(cost) <= 12 else 0,
         is_retry=fields.get(b"x-again") == b"1",
@@ -690,6 +779,18 @@
     )
 
 
+def _key_of(query: bytes) -> str:
+    """The first value of `k` that is not empty."""
+    if not query:
+        return ""
+    if b"%" in query or b"+" in query:
+        return parse_qs(query.decode("ascii")).get("k", [""])[0]
+    for pair in query.split(b"&"):
+        if pair[:2] == b"k=" and len(pair) > 2:
+            return pair[2:].decode("ascii")
+    return ""
+
+
 def _check_effect(method: bytes, fields: Mapping[bytes, bytes | None], cls: RequestClass) -> None:
     """The method and the key follow from the class. Risk: a keyed request without its key would be repeated
     as one whose repeats are dropped, and would run twice."""
@@ -700,7 +801,7 @@
         raise BadRequest(400, "Idempotency-Key is missing, unreadable or out of place")
 
 
-def _fields(head: h11.Request) -> dict[bytes, bytes | None]:
+def _fields(head: Head) -> dict[bytes, bytes | None]:
     """Each header's value, None of one that comes more than once. Made once: h11's list is slow to walk."""
     fields: dict[bytes, bytes | None] = {}
     for name, value in head.headers:
