--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -12,7 +12,7 @@
 from sorrelfront.decisions.balancer import Balancer
 from sorrelfront.lists import Directory
 from sorrelfront.messages import Address, Call, Ended, Failed, Final, Refused, Update
-from sorrelfront.platform.config import Config
+from sorrelfront.terms import Config
 
 log = logging.getLogger(__name__)
 
@@ -253,8 +253,10 @@
             self.served += 1
         if not held.answer.done():
             held.answer.set_result(answer)
-            if held.told is not None:
-                held.told()
+            # Risk: a circle of request and connection that waits for a collection.
+            told, held.told = held.told, None
+            if told is not None:
+                told()
         return True
 
     def fail_all(self) -> None:
--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -30,9 +30,10 @@
 from sorrelfront.fronts.http1 import Listener
 from sorrelfront.messages import Address, Update
 from sorrelfront.net.budget import BodyBudget, Descriptors
-from sorrelfront.platform.config import BadConfig, Config, parse
+from sorrelfront.platform.config import BadConfig, parse
 from sorrelfront.signals import ignore_from_here, on_signal
 from sorrelfront.sources import registry
+from sorrelfront.terms import Config
 from sorrelfront.upstreams.http1 import Upstream
 
 log = logging.getLogger("sorrelfront.instance")
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -344,6 +344,7 @@
         self._answered = 0.0  # when it was last owed nothing more
         self._writer: asyncio.Task[None] | None = None
         self._linger: asyncio.TimerHandle | None = None
+        wire.shortcut = self._take_whole
 
     def start(self) -> None:
         self._task = asyncio.create_task(self._run())
@@ -448,6 +449,8 @@
             except BadRequest as bad:
                 self._push_text(parser, bad.status, str(bad))
                 last = True
+            # Risk: kept by name, a request's bytes stay with each connection that waits for the next.
+            data, plain = b"", None
             if last:
                 await self._discard()
 
@@ -501,6 +504,31 @@
         self._take(None, call, share, head.last)
         return head.last, rest
 
+    def _take_whole(self, data: bytes) -> bool:
+        """Take what is one plain request, whole and nothing else, in the step in which it comes. Whatever
+        is not, or would be refused, changes nothing here and goes the usual way."""
+        if self._begun or self._answered_last or self._deaf or len(self._turns) >= PIPELINE_MOST:
+            return False
+        found = HEAD_END.search(data)
+        head = request_head(data[: found.end()]) if found is not None else None
+        if found is None or head is None or head.last or found.end() + head.length != len(data):
+            return False
+        if head.length > BODY_MOST or _path(head) == READY:
+            return False
+        try:
+            call = parse_call(head, self._agent)
+        except BadRequest:
+            return False
+        if self._agent.has_open(call.client_id):
+            return False
+        self._listener.heard(self)
+        self._begins()
+        call.payload.body += data[found.end() :]
+        share = self._listener.bodies.share()
+        share.add(head.length)
+        self._take(None, call, share, False)
+        return True
+
     async def _read_strictly(self, parser: h11.Connection, data: bytes) -> bool:
         """Read one request that is not plain, as far as h11 accepts it, and take it. Returns whether it is
         the last of its connection."""
@@ -596,6 +624,7 @@
     async def _discard(self) -> None:
         """Read on past the last request, so that the client's going is seen. Risk: a client may go on sending
         for as long as it is read, at our core's cost."""
+        self.wire.shortcut = None  # Risk: a request that comes behind the last one would be taken
         left = DISCARD_MOST
         while left > 0 and (data := await self.wire.receive()):
             left -= len(data)
--- a/sorrelfront/net/http.py
+++ b/sorrelfront/net/http.py
@@ -40,11 +40,14 @@
     in a future loses it when the reader is cancelled in between, and who decides to close sees nothing of it.
     """
 
-    __slots__ = ("_at_rest", "_fd", "_inbox", "_loop", "_waiter", "_watched", "closed", "sock")
+    __slots__ = ("_at_rest", "_fd", "_inbox", "_loop", "_waiter", "_watched", "closed", "shortcut", "sock")
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         self.closed = False
+        # Shown what has come before the waiting caller is woken; True if it is done with, and the caller
+        # goes on waiting. What takes no wait at all then takes no turn of the loop either.
+        self.shortcut: Callable[[bytes], bool] | None = None
         self._fd = sock.fileno()  # by number: given the socket, the loop would write out its name
         self._loop = asyncio.get_running_loop()
         self._inbox: bytes | OSError | None = None  # taken from the kernel, and by nobody from here
@@ -120,11 +123,15 @@
                 disturbed()
             return
         try:
-            self._inbox = self.sock.recv(RECEIVE_BYTES)
+            data = self.sock.recv(RECEIVE_BYTES)
         except (BlockingIOError, InterruptedError):
             return
         except OSError as fault:
             self._inbox = fault
+        else:
+            if data and self.shortcut is not None and self.shortcut(data):
+                return
+            self._inbox = data
         if not self._inbox or isinstance(self._inbox, OSError):
             self._unwatch()  # an end stays readable
         waiter.set_result(None)
@@ -172,7 +179,7 @@
         # Risk: a waiter's clean-up runs later and would unregister whoever got this descriptor's number next.
         self._unwatch()
         self._loop.remove_writer(self._fd)
-        self._at_rest = None
+        self._at_rest = self.shortcut = None
         with contextlib.suppress(OSError):
             if abort:
                 self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/sorrelfront/platform/__main__.py
+++ b/sorrelfront/platform/__main__.py
@@ -15,9 +15,10 @@
 from sorrelfront.agent import Agent
 from sorrelfront.fronts.http1 import Listener
 from sorrelfront.net.budget import BodyBudget, Descriptors
-from sorrelfront.platform.config import BadConfig, Config, load
+from sorrelfront.platform.config import BadConfig, load
 from sorrelfront.signals import ignore_from_here, on_signal
 from sorrelfront.sources.registry import watch
+from sorrelfront.terms import Config
 from sorrelfront.upstreams.http1 import Upstream
 
 log = logging.getLogger("sorrelfront")
--- a/sorrelfront/platform/config.py
+++ b/sorrelfront/platform/config.py
@@ -5,14 +5,13 @@
 import json
 import resource
 from collections.abc import Mapping
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from sorrelfront.decisions.interface import Settings
 from sorrelfront.lists import Malformed, parse_address, parse_update
 from sorrelfront.messages import Address, Update
 from sorrelfront.platform.adapter import parse_settings
+from sorrelfront.terms import Config
 
 CONFIG = "BALANCER_CONFIG"
 LEAST_MEMORY_MB = 1
@@ -23,20 +22,6 @@
     """A start that cannot be made, in one line."""
 
 
-@dataclass(frozen=True, slots=True)
-class Config:
-    name: str
-    listen: Address
-    discovery: Address
-    seed: int
-    memory_bytes: int
-    sockets: int
-    settings: Settings
-    known: Update
-    most_held: int
-    idle_us: int
-
-
 def load(environ: Mapping[str, str], again: bool = False) -> Config:
     """The configuration that the environment names. `again`: at a reload the file alone tells where discovery
     is, since the environment still says what held at the start."""
--- a/sorrelfront/sources/registry.py
+++ b/sorrelfront/sources/registry.py
@@ -13,7 +13,7 @@
 from sorrelfront.lists import Malformed, parse_update
 from sorrelfront.messages import Address, Update
 from sorrelfront.net.http import Wire, frame
-from sorrelfront.platform.config import Config
+from sorrelfront.terms import Config
 
 log = logging.getLogger(__name__)
 
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -28,7 +28,7 @@
     Wire,
     end_to_end,
 )
-from sorrelfront.platform.config import Config
+from sorrelfront.terms import Config
 
 log = logging.getLogger(__name__)
 
--- a/tests/daemon/test_adoption.py
+++ b/tests/daemon/test_adoption.py
@@ -518,6 +518,38 @@
     asyncio.run(play())
 
 
+def test_a_disk_that_hangs_in_each_write_holds_up_nobody(tmp_path: Path) -> None:
+    """Neither requests nor a reload, a killed instance or a stop. Longer than any of these may take."""
+    slow = "import os, time; os.fsync = lambda _: time.sleep(10 * 60)"
+
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with fleet(tmp_path, backend) as made:
+            made.more = 'state_dir = "state"\nstate_every_ms = 100'
+            made.write()
+            made.signal(signal.SIGTERM)
+            assert await made.ended() == 0
+            await made.start(slow)
+            before = await pids_of_ready(made)
+            crowd = Crowd(made.address, 10)
+            await crowd.more(50)
+            made.write(sockets=300)
+            assert (await made.ask("reload"))["ok"]
+            await crowd.more(50)
+            await crowd.finish()
+            os.kill(before["i0"], signal.SIGKILL)
+            async with asyncio.timeout(PATIENCE_S):
+                while (await pids_of_ready(made))["i0"] == before["i0"]:
+                    await asyncio.sleep(0.02)
+            made.signal(signal.SIGTERM)
+            assert await made.ended() == 0
+            await made.start()
+            await made.ready()
+        check(crowd, backend)
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize(
     "how", ["a file in its place", "gone while it runs", "full while it runs", "spoilt records"]
 )
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -22,8 +22,9 @@
     table,
 )
 from sorrelfront.net.budget import BodyBudget, Descriptors
-from sorrelfront.platform.config import Config, parse
+from sorrelfront.platform.config import parse
 from sorrelfront.sources.registry import watch
+from sorrelfront.terms import Config
 from sorrelfront.upstreams.http1 import Upstream
 
 __all__ = [
--- a/tests/net/test_closing.py
+++ b/tests/net/test_closing.py
@@ -278,3 +278,30 @@
             sock.close()
 
     asyncio.run(play())
+
+
+def test_nothing_behind_a_last_request_is_taken() -> None:
+    """The client says that this request is its last, and then sends another: that one must not run."""
+
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def later(_: bytes, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(OK)
+
+        backend = await Backend(later).start()
+        async with world(backend) as made:
+            peer = Peer(made.listener.address)
+            peer.send(request("a", "pay", more="Connection: close\r\n"))
+            await asyncio.wait_for(backend.arrived.wait(), PATIENCE_S)
+            peer.send(request("b", "pay"))
+            await asyncio.sleep(0)
+            for _ in range(TURNS):
+                await asyncio.sleep(0)
+            go.set()
+            assert (await peer.answer()).startswith(b"HTTP/1.1 200")
+            assert peer.told_to_close and len(backend.seen) == 1
+            peer.close()
+
+    asyncio.run(play())
