A server that leaves the list before its attempt's first step costs no refusal

Taken in the callback, a request was decided in the very turn in which the list changed: its attempt found no address and was told as unsent, which is what a lack of descriptors is, and the request was refused. It is told as unreachable now: it never ran, and another server is tried.

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -296,7 +296,9 @@
         loop."""
         backend = action.backend
         address = self._directory.address(backend)
-        ended = Ended(api.Outcome.UNSENT)
+        # Risk: told as unsent for want of room, a request whose server has left the list between decision and
+        # first step would be refused, where others could serve it.
+        ended = Ended(api.Outcome.UNREACHABLE)
         if address is not None:
             ended = await self._upstream.attempt(
                 held.call, address, action.timeout_us, lambda: self._directory.is_ready(backend)
--- a/tests/net/test_closing.py
+++ b/tests/net/test_closing.py
@@ -19,7 +19,9 @@
 from sorrelfront.decisions.interface import Outcome
 from sorrelfront.fronts import http1 as listener
 from sorrelfront.lab.crowd import Peer
-from sorrelfront.messages import Call
+from sorrelfront.lab.http1 import member
+from sorrelfront.lists import parse_update
+from sorrelfront.messages import Answer, Call
 from sorrelfront.net.budget import Descriptors
 from sorrelfront.net.http import Payload, Wire
 from sorrelfront.platform import __main__ as program
@@ -296,12 +298,30 @@
             peer.send(request("a", "pay", more="Connection: close\r\n"))
             await asyncio.wait_for(backend.arrived.wait(), PATIENCE_S)
             peer.send(request("b", "pay"))
-            await asyncio.sleep(0)
             for _ in range(TURNS):
                 await asyncio.sleep(0)
+            assert made.agent.offered == 1  # it was read, and not taken
             go.set()
             assert (await peer.answer()).startswith(b"HTTP/1.1 200")
             assert peer.told_to_close and len(backend.seen) == 1
             peer.close()
 
     asyncio.run(play())
+
+
+def test_a_server_that_leaves_the_list_before_the_first_step_of_its_attempt_costs_no_refusal() -> None:
+    async def play() -> None:
+        leaving, other = await Backend(OK).start(), await Backend(OK).start()
+        async with world(leaving) as made:
+            headers = [(b"host", b"a"), (b"x-call-id", b"r")]
+            call = Call(b"r", "look", 4_000_000, Payload(b"GET", b"/look", headers), repeatable=True)
+            held = made.agent.take(call)  # the only one listed is chosen; nothing has been sent
+            members = [member("b1", other.address)]
+            made.agent._on_update(parse_update({"revision": 9, "complete": True, "members": members}))
+            async with asyncio.timeout(PATIENCE_S):
+                answer = await held.answer
+            assert isinstance(answer, Answer) and answer.status == 200
+            assert len(other.seen) == 1 and not leaving.seen
+        other.stop()
+
+    asyncio.run(play())
