--- a/sorrelfront/cli/main.py
+++ b/sorrelfront/cli/main.py
@@ -32,14 +32,18 @@
 @main.command()
 @FILE
 @click.option("--replace", is_flag=True, help="Take over from the daemon that runs by FILE, without a gap.")
-def serve(file: Path, replace: bool) -> None:
+@click.option(
+    "--last-good", type=click.Path(path_type=Path), metavar="DIR",
+    help="If FILE is faulty, start by the file that was in force last, as the state in DIR remembers it.",
+)
+def serve(file: Path, replace: bool, last_good: Path | None) -> None:
     """Run the daemon that FILE describes, in the foreground.
 
     SIGHUP reads FILE again, SIGTERM drains and ends, SIGINT twice ends at once.
     """
     from sorrelfront.daemon import supervisor
 
-    raise SystemExit(supervisor.serve(file, lambda line: click.echo(line, err=True), replace))
+    raise SystemExit(supervisor.serve(file, lambda line: click.echo(line, err=True), replace, last_good))
 
 
 @main.command()
--- a/sorrelfront/daemon/supervisor.py
+++ b/sorrelfront/daemon/supervisor.py
@@ -18,7 +18,7 @@
 from sorrelfront.daemon import logs
 from sorrelfront.daemon.adopting import Adopted, adopt_all, survey
 from sorrelfront.daemon.channel import Message
-from sorrelfront.daemon.configuration import BadDocument, Document, read
+from sorrelfront.daemon.configuration import BadDocument, Document, parse, read
 from sorrelfront.daemon.control import Control
 from sorrelfront.daemon.fleet import CannotStart, Fleet, now_us
 from sorrelfront.daemon.journal import Entry, Journal, NoFolder, RunFolder, StateMemory, encode
@@ -27,7 +27,7 @@
 from sorrelfront.daemon.records import Writer
 from sorrelfront.daemon.reload import Reloading
 from sorrelfront.daemon.replacement import Replacing
-from sorrelfront.daemon.state import SETTLE_S, State
+from sorrelfront.daemon.state import SETTLE_S, State, remembered
 from sorrelfront.daemon.takeover import Bereft, Heir, NoTakeover
 from sorrelfront.signals import ignore_from_here, on_signal
 
@@ -387,8 +387,22 @@
         }
 
 
-def serve(path: Path, tell: Callable[[str], None], replace: bool = False) -> int:
-    """Run the daemon that the file describes, in place of the one that runs if `replace`. Returns its exit
+def _last_good(path: Path, folder: Path | None) -> Document | None:
+    """The file that was in force last, by the state in this folder; None if there is none that is good."""
+    found = remembered(folder) if folder is not None else None
+    if found is None:
+        return None
+    try:
+        return parse(found.document, path)
+    except BadDocument:  # another version wrote it
+        return None
+
+
+def serve(
+    path: Path, tell: Callable[[str], None], replace: bool = False, last_good: Path | None = None
+) -> int:
+    """Run the daemon that the file describes, in place of the one that runs if `replace`. If the file is
+    faulty and `last_good` names a state folder, run by the file that was in force last. Returns its exit
     code: 0; 1 for a replacement that is off; 2 for a start that cannot be made, after one line a fault to
     `tell`."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
@@ -397,7 +411,11 @@
     except BadDocument as bad:
         for line in bad.lines():
             tell(line)
-        return 2
+        good = _last_good(path, last_good)
+        if good is None:
+            return 2
+        tell(f"{path}: starting by the file that was in force last")
+        document = good
     logs.configure(document.log["format"], document.log["level"])
 
     async def run() -> int:
--- a/tests/daemon/fleet.py
+++ b/tests/daemon/fleet.py
@@ -71,14 +71,14 @@
         fresh.write_text(self.text(**changes))
         fresh.replace(self.path)
 
-    async def start(self, before: str = "") -> None:
+    async def start(self, before: str = "", more: tuple[str, ...] = ()) -> None:
         """`before`: a statement that the program runs first, for a fault that only it can have."""
         words = ["-m", "sorrelfront.cli.main"]
         if before:
             words = ["-c", f"{before}\nfrom sorrelfront.cli.main import main\nmain()"]
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, *words, "serve", str(self.path),
+                sys.executable, *words, "serve", str(self.path), *more,
                 cwd=ROOT, env={**os.environ, **self.environ}, stderr=log,
             )  # fmt: skip
 
--- a/tests/daemon/test_adoption.py
+++ b/tests/daemon/test_adoption.py
@@ -518,6 +518,33 @@
     asyncio.run(play())
 
 
+def test_a_faulty_file_and_the_one_that_was_in_force_last(tmp_path: Path) -> None:
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with fleet(tmp_path, backend) as made:
+            made.more = 'state_dir = "state"\nstate_every_ms = 100'
+            made.write()
+            made.signal(signal.SIGTERM)
+            assert await made.ended() == 0
+            await made.start()
+            await made.ready()
+            await until((made.folder / "state" / "fleet").exists)
+            power_cut(made)
+            await made.process.wait()
+            good = made.path.read_text()
+            made.path.write_text(good + "[nonsense")
+            await made.start()
+            assert await made.ended() == 2  # as always, without being told otherwise
+            await made.start(more=("--last-good", str(made.folder / "state")))
+            await made.ready()
+            assert "starting by the file that was in force last" in made.log.read_text()
+            assert not (await made.ask("reload"))["ok"]
+            made.path.write_text(good)
+            assert (await made.ask("reload"))["ok"]
+
+    asyncio.run(play())
+
+
 def test_a_disk_that_hangs_in_each_write_holds_up_nobody(tmp_path: Path) -> None:
     """Neither requests nor a reload, a killed instance or a stop. Longer than any of these may take."""
     slow = "import os, time; os.fsync = lambda _: time.sleep(10 * 60)"
--- a/tests/daemon/test_configuration.py
+++ b/tests/daemon/test_configuration.py
@@ -10,7 +10,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sorrelfront.daemon.configuration import BadDocument, Document, check, instance_table, parse, read
+from sorrelfront.daemon.channel import MESSAGE_MOST, pair, receive, send
+from sorrelfront.daemon.configuration import (
+    FILE_MOST,
+    SERVERS_MOST,
+    BadDocument,
+    Document,
+    check,
+    instance_table,
+    parse,
+    read,
+)
+from sorrelfront.daemon.fleet import Terms
 from sorrelfront.platform import config
 
 SHIPPED = Path(__file__).parents[2] / "deploy" / "sorrelfront.toml"
@@ -99,6 +110,32 @@
     assert any(said in line for line in faults(GOOD.replace(old, new, 1)))
 
 
+def test_the_longest_file_and_the_most_servers_go_to_an_instance_whole() -> None:
+    """What the pages state: 10,000 servers, 4 MiB of file, and terms that one message holds."""
+
+    def text(count: int, length: int) -> bytes:
+        name = "n" * length
+        rows = ",\n".join(
+            f'{{ id = "{at:05d}{name}", address = "127.0.0.1:{1024 + at}" }}' for at in range(count)
+        )
+        return GOOD.replace('{ id = "a", address = "127.0.0.1:9001" }', rows).encode()
+
+    longest = 123  # of an id's 128 characters, behind five figures
+    while len(text(SERVERS_MOST, longest)) > FILE_MOST:
+        longest -= 1
+    document = parse(text(SERVERS_MOST, longest), PATH)
+    terms = Terms(document)
+    assert terms.size < MESSAGE_MOST
+    ours, theirs = pair()
+    with ours, theirs:
+        assert send(ours, terms.message("start", "i0", 1))
+        got = receive(theirs)
+        assert got is not None
+        assert len(config.parse(got[0]["table"]).known.backends) == SERVERS_MOST
+    assert any("must be at most 10000" in line for line in faults(text(SERVERS_MOST + 1, 0).decode()))
+    assert any("is longer than" in line for line in faults("#" * (FILE_MOST + 1)))
+
+
 VALUES: st.SearchStrategy[Any] = st.recursive(
     st.one_of(st.booleans(), st.integers(), st.floats(), st.text(max_size=8)),
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner, max_size=3),
--- a/tests/daemon/test_fleet.py
+++ b/tests/daemon/test_fleet.py
@@ -440,8 +440,11 @@
     run = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
     loaded = run.stdout.split()
     assert "sorrelfront.fronts.http1" in loaded
-    extras = ("sorrelfront.daemon", "sorrelfront.cli", "sorrelfront.lab", "click", "rich",
-              "sorrelfront.decisions.supervision")  # fmt: skip
+    extras = (
+        "sorrelfront.daemon", "sorrelfront.cli", "sorrelfront.lab", "click", "rich", "msgspec",
+        "pythonjsonlogger", "sorrelfront.decisions.supervision", "sorrelfront.decisions.adoption",
+        "sorrelfront.decisions.learnt",
+    )  # fmt: skip
     assert not [name for name in loaded if name.startswith(extras)]
 
 
