--- /dev/null
+++ b/tests/daemon/odd_instance.py
@@ -0,0 +1,48 @@
+"""A scripted peer at an instance's door: `python -m tests.daemon.odd_instance FOLDER NAME DIGEST HOW`.
+
+It says who it is like an orphan that is ready. Asked to be adopted it answers a second later (`late`), or
+never (`never`). Adopted, it gives signs of life until it is told to stop.
+"""
+
+from __future__ import annotations
+
+import os
+import select
+import socket
+import sys
+import time
+from pathlib import Path
+
+from sorrelfront.daemon.channel import bind_private, receive, send
+from sorrelfront.daemon.processes import start_ticks
+
+
+def main(folder: str, name: str, digest: str, how: str) -> None:
+    pid = os.getpid()
+    hidden = Path(folder) / f".{name}-{pid}"
+    door = bind_private(socket.SOCK_SEQPACKET, hidden)
+    door.listen(4)
+    hidden.rename(Path(folder) / f"{name}-{pid}.sock")
+    channel, _ = door.accept()
+    while True:
+        readable, _, _ = select.select([channel], [], [], 0.1)
+        if not readable:
+            send(channel, {"op": "beat", "figures": {}})
+            continue
+        got = receive(channel)
+        if got is None:
+            return
+        match got[0].get("op"):
+            case "hello":
+                who = {"name": name, "pid": pid, "run": 7, "ticks": start_ticks(pid), "life": "ready"}
+                terms = {"protocol": 1, "generation": 0, "digest": digest, "orphan": True}
+                send(channel, {"op": "hello", **who, **terms})
+            case "adopt":
+                time.sleep(1.0 if how == "late" else 600.0)
+                send(channel, {"op": "adopted", "id": got[0]["id"], "fault": None})
+            case "stop":
+                return
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:5])
--- a/tests/daemon/test_adoption.py
+++ b/tests/daemon/test_adoption.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from sorrelfront.daemon import control
 from sorrelfront.daemon.channel import bind_private, prepare, send
 from sorrelfront.daemon.journal import Entry, Journal, encode
 from sorrelfront.daemon.processes import boot_id, start_ticks
@@ -190,6 +191,9 @@
             new = await replacement(made)
             await replacing(made)
             if which == "both":
+                # Some of the new program's instances have their terms, and it is not in charge.
+                await until(lambda: len(made.orphans()) > 2)
+                new.send_signal(signal.SIGSTOP)
                 new.kill()
                 await new.wait()
             await made.kill()
@@ -323,6 +327,49 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("how", ["late", "never"])
+def test_one_that_is_slow_or_hangs_once_it_is_asked_to_be_adopted(tmp_path: Path, how: str) -> None:
+    """Meanwhile those adopted already give signs of life, and nothing is started in its place too early. A
+    peer that answers late is adopted; one that never does is not waited for."""
+
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with fleet(tmp_path, backend) as made:
+            await lasting(made)
+            before = await pids(made)
+            digest = str(_hello(next(made.folder.glob("c.sock.d/i0-*.sock")))["digest"])
+            await made.kill()
+            os.kill(before["i1"], signal.SIGKILL)
+            await until(lambda: not alive(before["i1"]))
+            words = ["-m", "tests.daemon.odd_instance", str(made.folder / "c.sock.d"), "i1", digest, how]
+            odd = await asyncio.create_subprocess_exec(sys.executable, *words, cwd=ROOT)
+            try:
+                await until((made.folder / "c.sock.d" / f"i1-{odd.pid}.sock").exists)
+                await made.start()
+                async with asyncio.timeout(PATIENCE_S):
+                    while True:
+                        with contextlib.suppress(control.Unavailable):
+                            found = await made.status()
+                            if all(item["phase"] == "ready" for item in found.values()):
+                                break
+                        await asyncio.sleep(0.02)
+                assert found["i0"]["pid"] == before["i0"]
+                assert (found["i1"]["pid"] == odd.pid) == (how == "late")
+                assert "Traceback" not in made.log.read_text()
+                made.signal(signal.SIGTERM)
+                assert await made.ended() == 0
+                if how == "late":
+                    await asyncio.wait_for(odd.wait(), PATIENCE_S)
+                await made.start()
+                await made.ready()
+            finally:
+                if odd.returncode is None:
+                    odd.kill()
+                    await odd.wait()
+
+    asyncio.run(play())
+
+
 def test_nobody_comes_and_the_orphans_drain(tmp_path: Path) -> None:
     async def play() -> None:
         go, later = gate(OK)
