--- a/tests/daemon/odd_instance.py
+++ b/tests/daemon/odd_instance.py
@@ -1,7 +1,9 @@
-"""A scripted peer at an instance's door: `python -m tests.daemon.odd_instance FOLDER NAME DIGEST HOW`.
+"""A scripted peer at an instance's door: `python -m tests.daemon.odd_instance FOLDER NAME DIGEST HOW [PORT]`.
 
 It says who it is like an orphan that is ready. Asked to be adopted it answers a second later (`late`), or
-never (`never`). Adopted, it gives signs of life until it is told to stop.
+never (`never`). Adopted, it gives signs of life until it is told to stop. With a port it is one that is
+leaving and still holds its listening socket, which it hands over; it ends once it is told that others have
+it.
 """
 
 from __future__ import annotations
@@ -17,8 +19,10 @@
 from sorrelfront.daemon.processes import start_ticks
 
 
-def main(folder: str, name: str, digest: str, how: str) -> None:
+def main(folder: str, name: str, digest: str, how: str, port: str = "") -> None:
     pid = os.getpid()
+    listening = [socket.create_server(("127.0.0.1", int(port)))] if port else []
+    life = "leaving" if listening else "ready"
     hidden = Path(folder) / f".{name}-{pid}"
     door = bind_private(socket.SOCK_SEQPACKET, hidden)
     door.listen(4)
@@ -34,15 +38,15 @@
             return
         match got[0].get("op"):
             case "hello":
-                who = {"name": name, "pid": pid, "run": 7, "ticks": start_ticks(pid), "life": "ready"}
+                who = {"name": name, "pid": pid, "run": 7, "ticks": start_ticks(pid), "life": life}
                 terms = {"protocol": 1, "generation": 0, "digest": digest, "orphan": True}
-                send(channel, {"op": "hello", **who, **terms})
+                send(channel, {"op": "hello", **who, **terms}, [sock.fileno() for sock in listening])
             case "adopt":
                 time.sleep(1.0 if how == "late" else 600.0)
                 send(channel, {"op": "adopted", "id": got[0]["id"], "fault": None})
-            case "stop":
+            case "others" | "stop":
                 return
 
 
 if __name__ == "__main__":
-    main(*sys.argv[1:5])
+    main(*sys.argv[1:6])
--- a/tests/daemon/test_adoption.py
+++ b/tests/daemon/test_adoption.py
@@ -370,6 +370,31 @@
     asyncio.run(play())
 
 
+def test_one_that_is_leaving_hands_over_the_address_that_it_holds(tmp_path: Path) -> None:
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with fleet(tmp_path, backend) as made:
+            power_cut(made)
+            await made.process.wait()
+            folder, port = str(made.folder / "c.sock.d"), str(made.address[1])
+            words = ["-m", "tests.daemon.odd_instance", folder, "i1", "", "leaving", port]
+            odd = await asyncio.create_subprocess_exec(sys.executable, *words, cwd=ROOT)
+            try:
+                await until((made.folder / "c.sock.d" / f"i1-{odd.pid}.sock").exists)
+                waiting = await connect(made.address)  # in the queue that it does not serve any more
+                waiting.send(request("r"))
+                await made.start()
+                await made.ready()
+                assert (await waiting.answer())[0] == 200
+                assert await asyncio.wait_for(odd.wait(), PATIENCE_S) == 0
+            finally:
+                if odd.returncode is None:
+                    odd.kill()
+                    await odd.wait()
+
+    asyncio.run(play())
+
+
 def test_nobody_comes_and_the_orphans_drain(tmp_path: Path) -> None:
     async def play() -> None:
         go, later = gate(OK)
