--- a/tests/daemon/test_adoption.py
+++ b/tests/daemon/test_adoption.py
@@ -602,6 +602,18 @@
     asyncio.run(play())
 
 
+# Nothing can be mounted here: the program itself is given the word that a read-only file system has for it.
+READ_ONLY = """
+import errno, os
+opened = os.open
+def refuse(path, flags, *more, **named):
+    if flags & os.O_CREAT and "/state/" in str(path):
+        raise OSError(errno.EROFS, os.strerror(errno.EROFS))
+    return opened(path, flags, *more, **named)
+os.open = refuse
+"""
+
+
 def test_a_disk_that_hangs_in_each_write_holds_up_nobody(tmp_path: Path) -> None:
     """Neither requests nor a reload, a killed instance or a stop. Longer than any of these may take."""
     slow = "import os, time; os.fsync = lambda _: time.sleep(10 * 60)"
@@ -635,7 +647,7 @@
 
 
 @pytest.mark.parametrize(
-    "how", ["a file in its place", "gone while it runs", "full while it runs", "spoilt records"]
+    "how", ["a file in its place", "gone while it runs", "full while it runs", "read-only", "spoilt records"]
 )
 def test_state_that_cannot_be_kept_or_trusted_is_no_reason_not_to_serve(tmp_path: Path, how: str) -> None:
     async def play() -> None:
@@ -652,7 +664,7 @@
                 folder.mkdir()
                 (folder / "fleet").write_bytes(b"SRLF" + bytes(100))
                 os.mkfifo(folder / "learnt")
-            await made.start()
+            await made.start(READ_ONLY if how == "read-only" else "")
             await made.ready()
             crowd = Crowd(made.address, 10)
             await crowd.more(50)
