--- a/tests/daemon/test_adoption.py
+++ b/tests/daemon/test_adoption.py
@@ -103,12 +103,18 @@
 
 def test_at_rest_again_and_again_and_what_died_meanwhile_is_started(tmp_path: Path) -> None:
     async def play() -> None:
-        backend = await Backend(OK).start()
-        async with fleet(tmp_path, backend) as made:
+        backend, leaving = await Backend(OK).start(), Leaving()
+        await leaving.backend.start()
+        async with fleet(tmp_path, backend, leaving.backend) as made:
             await lasting(made)
             before = await pids(made)
-            for _ in range(2):
+            crowd = Crowd(made.address, 4)
+            await crowd.more(100)  # both are drawn
+            await crowd.finish()
+            for number in range(2):
                 await made.kill()
+                if not number:
+                    leaving.leave(made)
                 await made.start()
                 assert {name: item["pid"] for name, item in (await made.ready()).items()} == before
             await made.kill()
@@ -119,6 +125,11 @@
             client = await connect(made.address)
             client.send(request("r"))
             assert (await client.answer())[0] == 200
+            crowd = Crowd(made.address, 4, name="d")
+            await crowd.more(100)
+            await crowd.finish()
+        check(crowd, backend, leaving.backend)
+        assert leaving.kept()
 
     asyncio.run(play())
 
