An operators' address, servers out by hand, drains by call, and upgrades by a shared queue

Orders are laid over the list (decisions/orders.py): a server out by hand is told to the module as draining, so the module, the directory and the kept connections need nothing of their own. They stand in a file that both versions look at. Not taken: orders passed from version to version over a socket, which are lost with a process that is killed between an order and the next one's start, and which two versions can hold differently.

The next version is sent the listening socket itself over a Unix socket in TMPDIR. Not taken: SO_REUSEPORT alone, where what waits in the queue of the version that ends is reset; it stays as the way for where no folder is shared.

Both versions go by half of memory and descriptors while both live; the next one by what the other no longer needs. test_closing.py: its closer 'reload' makes a Service, since reload takes one now.

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -5,11 +5,12 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol, TypeVar
 
 from sorrelfront.decisions import interface as api
 from sorrelfront.decisions.balancer import Balancer
+from sorrelfront.decisions.orders import Orders
 from sorrelfront.lists import Directory
 from sorrelfront.messages import Address, Call, Ended, Failed, Final, Refused, Update
 from sorrelfront.terms import Config
@@ -77,6 +78,15 @@
         self.told: Callable[[], None] | None = None  # called once the answer is there, in the same step
 
 
+class Tally:
+    """Requests of one class by their final answers, since the start."""
+
+    __slots__ = ("failed", "refused", "served")
+
+    def __init__(self) -> None:
+        self.served = self.refused = self.failed = 0
+
+
 def _about(call: Call) -> dict[str, str]:
     """Fields of a log event about this call."""
     return {"class": call.class_name, "call": call.client_id.decode("latin-1")[:64]}
@@ -94,18 +104,30 @@
         self.balancer = Balancer(config.settings, config.seed, self.now())
         self._classes = {cls.name: cls for cls in config.settings.classes}
         self._directory = Directory()
+        self._orders = Orders()
+        self.listed = False  # the membership source has told of the list
         self._source = source(config, self._on_update, self._on_failure)
         self._held: dict[int, Held] = {}
         self._open_ids: set[bytes] = set()  # of the held requests, as their clients named them
         self._running: dict[tuple[int, int], asyncio.Task[None]] = {}
         self._count = 0
-        self.served = self.refused = self.failed = 0
+        self.tallies = {name: Tally() for name in self._classes}
+
+    @property
+    def served(self) -> int:
+        return sum(tally.served for tally in self.tallies.values())
+
+    @property
+    def refused(self) -> int:
+        return sum(tally.refused for tally in self.tallies.values())
+
+    @property
+    def failed(self) -> int:
+        return sum(tally.failed for tally in self.tallies.values())
 
     def start(self) -> None:
         self._run(self.balancer.start())
-        known = self._config.known
-        self._directory.apply(known)
-        self._tell(self.balancer.on_list, api.BackendList(api.ListKind.CACHED, known.backends))
+        self._hear(self._config.known, api.ListKind.CACHED)
 
     def reload(self, config: Config) -> None:
         """Go by another configuration. What is held goes on, under the terms it was taken on."""
@@ -113,6 +135,8 @@
             log.warning("listen is another address; that takes a restart")
         self._config = config
         self._classes = {cls.name: cls for cls in config.settings.classes}
+        for name in self._classes:
+            self.tallies.setdefault(name, Tally())
         self._tell(self.balancer.on_settings, config.settings)
         self._upstream.reload(config)
         self._source.reload(config)
@@ -157,7 +181,7 @@
         self._count += 1
         held = Held(self._count, call, self._loop.create_future())
         if len(self._held) >= self._config.most_held:
-            self.refused += 1
+            self.tallies[call.class_name].refused += 1
             held.answer.set_result(Refused(FULL_RETRY_AFTER_US))
             return held
         self._held[held.id] = held
@@ -188,11 +212,41 @@
         self._tell(self.balancer.on_client_gone, api.ClientGone(held.id))
 
     def _on_update(self, update: Update) -> None:
+        self.listed = True
+        self._hear(update, api.ListKind.FULL if update.complete else api.ListKind.DELTA)
+
+    def _hear(self, update: Update, kind: api.ListKind) -> None:
+        """What the list says, as operators' orders leave it."""
+        self._apply(update._replace(backends=self._orders.heard(update.backends, update.complete)), kind)
+
+    def _apply(self, update: Update, kind: api.ListKind) -> None:
         for address in self._directory.apply(update):
             self._upstream.forget(address)
-        kind = api.ListKind.FULL if update.complete else api.ListKind.DELTA
         self._tell(self.balancer.on_list, api.BackendList(kind, update.backends))
 
+    # Operators
+
+    def put_out(self, servers: Iterable[str]) -> None:
+        """These servers, and no others, are out by hand from here on: nothing new goes to them."""
+        changed = self._orders.ordered(servers)
+        if changed:
+            self._apply(Update(0, False, changed, {}), api.ListKind.DELTA)
+
+    def knows(self, server: str) -> bool:
+        """Whether this server is listed, or out by hand."""
+        return self._orders.knows(server)
+
+    @property
+    def targets(self) -> int:
+        """How many servers the list has."""
+        return self._orders.listed
+
+    @property
+    def avoided(self) -> int:
+        """How many of these are sent nothing now: out by hand, or shut by the decisions."""
+        now = self.now()
+        return len(self._orders.listed_out()) + sum(not item.open(now) for item in self.balancer.ready)
+
     def _on_failure(self) -> None:
         self._tell(self.balancer.on_list, api.BackendList(api.ListKind.FAILED))
 
@@ -245,12 +299,13 @@
     def _finish(self, held: Held, answer: Final) -> bool:
         if not self._end(held):
             return False
+        tally = self.tallies[held.call.class_name]
         if isinstance(answer, Refused):
-            self.refused += 1
+            tally.refused += 1
         elif isinstance(answer, Failed):
-            self.failed += 1
+            tally.failed += 1
         else:
-            self.served += 1
+            tally.served += 1
         if not held.answer.done():
             held.answer.set_result(answer)
             # Risk: a circle of request and connection that waits for a collection.
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -108,6 +108,9 @@
         self.agent = agent
         self.bodies = bodies
         self.closing = False
+        self._drained_at: float | None = None  # operators want no clients here, since then
+        self._retired = False  # another process takes the connections that come
+        self.taken = 0  # requests taken whose answers are not yet written
         self._clients_most = descriptors.clients
         self._asking_most = descriptors.asking
         self._clients: set[_Client] = set()
@@ -123,7 +126,9 @@
             self._sock = address
             address.listen(BACKLOG)  # another that shares it may have stopped letting in more
         else:
-            self._sock = socket.create_server(address, backlog=BACKLOG)
+            # Other versions of this program may listen beside it (socket(7), SO_REUSEPORT), and those of the
+            # same user alone. Harm: two started here by mistake share the clients, where one would fail.
+            self._sock = socket.create_server(address, backlog=BACKLOG, reuse_port=True)
         self._sock.setblocking(False)
         # Accepted sockets inherit it.
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER)
@@ -148,6 +153,34 @@
     def connections(self) -> int:
         return len(self._clients)
 
+    @property
+    def refusing(self) -> bool:
+        """Whether who asks if this is ready is told no."""
+        return self.closing or self._drained_at is not None
+
+    @property
+    def leaving(self) -> bool:
+        """Whether each connection ends with its next answer that has nothing behind it."""
+        return self.refusing or self._retired
+
+    def drain(self, on: bool) -> None:
+        """Have all clients go elsewhere, or take them again. Who asks is told no at once; each connection
+        ends with its next answer, and those that rest end once they have rested for GOING_AWAY_S since. What
+        still comes is served: those who ask who is ready learn of it a moment later."""
+        if on and self._drained_at is None:
+            self._drained_at = time.monotonic()
+        elif not on:
+            self._drained_at = None
+
+    def retire(self, on: bool) -> None:
+        """Another process takes the connections that come from the shared queue, and clients go over to it as
+        their answers tell them; or it has gone, and this one takes them again."""
+        self._retired = on
+        if on:
+            self._pause()
+        elif self._sock.fileno() >= 0:
+            self._resume()
+
     def resize(self, descriptors: Descriptors, memory_bytes: int) -> None:
         """Take on other limits; what is open over a lower one goes as it comes to rest."""
         clients = self._clients_most = descriptors.clients
@@ -217,12 +250,23 @@
             now = time.monotonic()
             for client in [*self._silent, *self._resting]:
                 client.expire(now)
+            if self._drained_at is not None and not self.closing:
+                self._end_drained(now - GOING_AWAY_S)
             self._relieve()
 
+    def _end_drained(self, before: float) -> None:
+        """End those that have rested since before this time, and since the drain was asked for. Risk: ended
+        sooner, who has just connected would find nobody, and ask once more, again and again."""
+        if self._drained_at is None or self._drained_at > before:
+            return
+        for client in [*self._silent, *self._resting]:
+            if client.since <= before:
+                client.end()
+
     # Accepting
 
     def _resume(self) -> None:
-        if not self._accepting and self._sock.fileno() >= 0:
+        if not self._accepting and not self._retired and self._sock.fileno() >= 0:
             self._accepting = True
             asyncio.get_running_loop().add_reader(self._sock.fileno(), self._accept)
 
@@ -341,7 +385,7 @@
         self._answered_last = False
         self._deaf = False  # what comes from now on is read past
         self._until = time.monotonic() + WHOLE_S  # for a whole request, or at rest for the next to begin
-        self._answered = 0.0  # when it was last owed nothing more
+        self._answered = time.monotonic()  # when it was last owed nothing more
         self._writer: asyncio.Task[None] | None = None
         self._linger: asyncio.TimerHandle | None = None
         wire.shortcut = self._take_whole
@@ -357,6 +401,11 @@
     def rested(self, now: float) -> float:
         return now - self._answered
 
+    @property
+    def since(self) -> float:
+        """When it was last owed nothing more, or connected."""
+        return self._answered
+
     @property
     def unfinished(self) -> bool:
         """Whether part of a request has come, and is owed an answer once no more of it is waited for."""
@@ -372,7 +421,7 @@
         if owed or not self.wire.quiet():
             return False
         crossed = False
-        if self._listener.closing:
+        if self._listener.leaving:
             # Looked at once more with the sending side shut: what came before the client could know of the
             # end is left unread, and reset, so that the client asks again.
             self.wire.shutdown(socket.SHUT_WR)
@@ -427,6 +476,7 @@
         if turn.share is not None:
             turn.share.release()
         if turn.held is not None:
+            self._listener.taken -= 1
             self._agent.abandon(turn.held)
 
     # Requests
@@ -559,8 +609,9 @@
             raise BadRequest(409, "a request under this X-Call-Id is open")
         if call is None:
             share.release()
-            closing = self._listener.closing
-            self._push_text(parser, 503 if closing else 200, "going away" if last else "ready", last)
+            refusing = self._listener.refusing
+            text = "going away" if refusing else "ready"
+            self._push_text(parser, 503 if refusing else 200, text, last)
         else:
             held = self._agent.take(call)
             self._push(_Turn(parser, held.answer, share, held, last))
@@ -642,6 +693,7 @@
         self._more.set()
         if turn.held is not None:
             turn.held.told = self._pump
+            self._listener.taken += 1
         self._pump()
 
     def _push_text(
@@ -701,6 +753,8 @@
         turn = self._turns.popleft()
         if turn.share is not None:
             turn.share.release()
+        if turn.held is not None:
+            self._listener.taken -= 1
         self._more.set()
         if not self._turns:
             self._answered = time.monotonic()
@@ -717,7 +771,7 @@
         # Going away, the last answer is one with nothing behind it. Risk: a request that has come and is not
         # yet parsed would be read past after an answer that says it is the last.
         close = turn.last or (
-            self._listener.closing
+            self._listener.leaving
             and len(self._turns) == 1
             and not self._begun
             and self.wire.quiet()
--- a/sorrelfront/platform/__main__.py
+++ b/sorrelfront/platform/__main__.py
@@ -11,11 +11,15 @@
 import time
 from collections.abc import Mapping
 from functools import partial
+from pathlib import Path
 
 from sorrelfront.agent import Agent
-from sorrelfront.fronts.http1 import Listener
-from sorrelfront.net.budget import BodyBudget, Descriptors
+from sorrelfront.messages import Address
+from sorrelfront.net.budget import Descriptors
 from sorrelfront.platform.config import BadConfig, load
+from sorrelfront.platform.control import ControlPort
+from sorrelfront.platform.service import Service
+from sorrelfront.platform.upgrade import find
 from sorrelfront.signals import ignore_from_here, on_signal
 from sorrelfront.sources.registry import watch
 from sorrelfront.terms import Config
@@ -46,37 +50,59 @@
         return self._count <= LOG_MOST
 
 
-def reload(environ: Mapping[str, str], agent: Agent, listener: Listener) -> None:
+def reload(environ: Mapping[str, str], service: Service) -> None:
     """Put a new configuration in force, or keep the old one. Requests under way go on either way."""
     try:
         config = load(environ, again=True)
     except BadConfig as fault:
         log.error("the new configuration is not used: %s", " ".join(str(fault).split()))
+        service.reload_faults += 1
         return
-    agent.reload(config)
-    listener.resize(Descriptors(config.sockets), config.memory_bytes)
+    service.reload(config)
+    service.reloads += 1
     log.warning("a new configuration is in force: discovery %s:%d", *config.discovery)
 
 
+def shared_folder(environ: Mapping[str, str]) -> Path | None:
+    """Where another version of this agent finds what this one leaves."""
+    told = environ.get("TMPDIR")
+    return Path(told) if told and Path(told).is_dir() else None
+
+
+def _cannot_listen(key: str, address: Address, fault: OSError) -> BadConfig:
+    return BadConfig(f"{key}: {address[0]}:{address[1]}: {fault.strerror}")
+
+
 async def serve(config: Config) -> None:
     """Run until SIGTERM, then finish what is owed."""
+    folder = shared_folder(os.environ)
+    predecessor = find(folder, config.listen)
     descriptors = Descriptors(config.sockets)
     upstream = Upstream(descriptors.backends, config.idle_us, config.settings.connect_timeout_us)
     agent = Agent(config, upstream, watch)
     going_away = asyncio.Event()
     on_signal(signal.SIGTERM, going_away.set)
+    service = Service(config, agent, upstream, folder, predecessor)
+    control = None
+    if config.control is not None:
+        try:
+            control = ControlPort(config.control, service)
+        except OSError as fault:
+            raise _cannot_listen("control", config.control, fault) from None
+    agent.start()
     try:
-        listener = Listener(agent, config.listen, descriptors, BodyBudget(config.memory_bytes))
+        await service.listen()
     except OSError as fault:
-        raise BadConfig(f"listen: {config.listen[0]}:{config.listen[1]}: {fault.strerror}") from None
-    on_signal(signal.SIGHUP, partial(reload, os.environ, agent, listener))
-    agent.start()
+        raise _cannot_listen("listen", config.listen, fault) from None
+    on_signal(signal.SIGHUP, partial(reload, os.environ, service))
     log.info(
         "%s: %d MB, %d descriptors, settings %s",
         config.name, config.memory_bytes >> 20, config.sockets, config.settings,
     )  # fmt: skip
     await going_away.wait()
-    await listener.close()
+    await service.close()
+    if control is not None:
+        control.close()
     agent.close()
     ignore_from_here(signal.SIGTERM, signal.SIGHUP)
 
--- a/sorrelfront/platform/config.py
+++ b/sorrelfront/platform/config.py
@@ -36,7 +36,7 @@
         raise BadConfig(f"{CONFIG}: {path}: not JSON: {fault}") from None
     if not isinstance(table, dict):
         raise BadConfig(f"{CONFIG}: {path}: not an object")
-    for key in ("name", "listen") if again else ("name", "listen", "discovery"):
+    for key in ("name", "listen", "control") if again else ("name", "listen", "control", "discovery"):
         if environ.get(f"BALANCER_{key.upper()}"):
             table[key] = environ[f"BALANCER_{key.upper()}"]
     return parse(table)
@@ -58,6 +58,7 @@
             known=_known(table),
             most_held=_whole(rules_limits, "mostHeld", "settings.limits.mostHeld", 1),
             idle_us=_whole(rules_limits, "connIdleUs", "settings.limits.connIdleUs", 1),
+            control=_address(table, "control") if table.get("control") else None,
         )
     except (ValueError, TypeError, OverflowError) as fault:  # JSON here knows Infinity and NaN
         raise BadConfig(f"settings: {fault}") from None
--- a/sorrelfront/terms.py
+++ b/sorrelfront/terms.py
@@ -20,3 +20,4 @@
     known: Update
     most_held: int
     idle_us: int
+    control: Address | None = None  # where operators call, if anywhere
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -64,6 +64,7 @@
         self._idle: dict[Address, deque[tuple[float, Wire]]] = {}  # each oldest first
         self.open = 0
         self.opened = 0
+        self.written = 0  # requests written whole to backends
         self._retired = 0.0
 
     def resize(self, descriptors: int, idle_us: int, connect_timeout_us: int) -> None:
@@ -292,6 +293,11 @@
             except OSError:
                 self.sent = False
                 raise
+            self.wrote()
+
+    def wrote(self) -> None:
+        """The last byte is the kernel's."""
+        self._upstream.written += 1
 
     def may_end(self, wire: Wire, rested: bool) -> bool:
         """Whether the last byte may go; if not, the connection is shut."""
@@ -340,8 +346,11 @@
         try:
             if not self._wire.send_now(self._last):
                 self._task = asyncio.create_task(self._end_later())
+                return
         except OSError:
             exchange.sent = False
+            return
+        exchange.wrote()
 
     async def _end_later(self) -> None:
         """The kernel had no room for the last byte: it goes when there is some."""
@@ -349,6 +358,8 @@
             await self._wire.send(self._last)
         except OSError:
             self._exchange.sent = False
+            return
+        self._exchange.wrote()
 
     def done(self) -> bool:
         return self._timer is None and (self._task is None or self._task.done())
--- a/tests/net/test_closing.py
+++ b/tests/net/test_closing.py
@@ -25,6 +25,7 @@
 from sorrelfront.net.budget import Descriptors
 from sorrelfront.net.http import Payload, Wire
 from sorrelfront.platform import __main__ as program
+from sorrelfront.platform.service import Service
 from sorrelfront.upstreams.http1 import Upstream
 from tests.loopback import PATIENCE_S, Backend, World, answer, request, table, world
 
@@ -66,7 +67,9 @@
 def reload(made: World, folder: Path) -> None:
     path = folder / "config.json"
     path.write_text(json.dumps(table("127.0.0.1:9", [])))
-    program.reload({"BALANCER_CONFIG": str(path)}, made.agent, made.listener)
+    service = Service(made.config, made.agent, made.upstream, None, None)
+    service.listener = made.listener
+    program.reload({"BALANCER_CONFIG": str(path)}, service)
 
 
 CLOSERS: dict[str, Callable[[World, Path], None]] = {
