Bodies above 64 KiB are passed on while they come, in both directions

An answer above 64 KiB goes on from its first bytes, by a stream that the client's writer pulls; a request above 64 KiB is decided on once its first 64 KiB are here, and its attempt pulls the rest. One piece is held at a time each way. The last byte still goes by itself: before it nothing can have run. Its time counts from its last byte, for client, server and estimates. Once something behind the beginning is gone, no other attempt begins. Not taken: spooling whole bodies (memory of 80 MB, and files are memory); a splice of sockets below the framing, which could not check lengths.

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -12,7 +12,8 @@
 from sorrelfront.decisions.balancer import Balancer
 from sorrelfront.decisions.orders import Orders
 from sorrelfront.lists import Directory
-from sorrelfront.messages import Address, Call, Ended, Failed, Final, Refused, Update
+from sorrelfront.messages import Address, Answer, Call, Ended, Failed, Final, Refused, Update
+from sorrelfront.net.budget import STREAM_MOST
 from sorrelfront.terms import Config
 
 log = logging.getLogger(__name__)
@@ -21,6 +22,9 @@
 DEADLINE_MARGIN_US = 5_000
 # Given to the module past its deadline before the agent answers in its place; the rules' slack is longer.
 OVERDUE_US = 10_000
+# The least rate of a long body from its client, in bytes a second: a front ends slower ones. It bounds how
+# long a request may be on its way to its server.
+UPLOAD_RATE_LEAST = 16_000
 # When all places for requests are taken; about how long a request holds one.
 FULL_RETRY_AFTER_US = 500_000
 
@@ -87,6 +91,12 @@
         self.served = self.refused = self.failed = 0
 
 
+def close(answer: Final) -> None:
+    """Nobody will have this answer."""
+    if isinstance(answer, Answer) and answer.stream is not None:
+        answer.stream.close()
+
+
 def _about(call: Call) -> dict[str, str]:
     """Fields of a log event about this call."""
     return {"class": call.class_name, "call": call.client_id.decode("latin-1")[:64]}
@@ -187,6 +197,10 @@
         self._held[held.id] = held
         self._open_ids.add(call.client_id)
         left_us = call.budget_us - DEADLINE_MARGIN_US
+        if call.upload is not None:
+            # Its time counts from its last byte (`whole`), and until then from when that must have come.
+            longest = STREAM_MOST if call.upload.length is None else call.upload.length
+            left_us += longest * 1_000_000 // UPLOAD_RATE_LEAST
         held.overdue = self._loop.call_later((left_us + OVERDUE_US) / 1e6, self._overdue, held)
         event = api.Request(
             held.id,
@@ -200,6 +214,13 @@
         self._tell(self.balancer.on_request, event, held)
         return held
 
+    def whole(self, held: Held) -> None:
+        """The last byte of a body that was passed on while it came is here: its time counts from now."""
+        if held.id in self._held and held.overdue is not None:
+            held.overdue.cancel()
+            left_us = held.call.budget_us - DEADLINE_MARGIN_US + OVERDUE_US
+            held.overdue = self._loop.call_later(left_us / 1e6, self._overdue, held)
+
     def abandon(self, held: Held) -> None:
         """The client has gone away."""
         if self._end(held):
@@ -306,7 +327,9 @@
             tally.failed += 1
         else:
             tally.served += 1
-        if not held.answer.done():
+        if held.answer.done():
+            close(answer)
+        else:
             held.answer.set_result(answer)
             # Risk: a circle of request and connection that waits for a collection.
             told, held.told = held.told, None
@@ -344,7 +367,16 @@
             about = {**_about(held.call), "server": backend}
             log.error("an attempt failed", exc_info=task.exception(), extra=about)
             ended = Ended(api.Outcome.UNKNOWN)
-        self._ended(held, key, ended, self.now() - started)
+        self._ended(held, key, ended, self._elapsed_us(held, started))
+
+    def _elapsed_us(self, held: Held, started: int) -> int:
+        """How long the server had for it. Risk: a client that sends slowly makes its server look slow."""
+        upload, now = held.call.upload, self.now()
+        if upload is None:
+            return now - started
+        if upload.whole_at is None:
+            return 0
+        return min(now - started, int((time.monotonic() - upload.whole_at) * 1e6))
 
     async def _exchange(self, held: Held, key: tuple[int, int], action: api.Send, started: int) -> None:
         """One attempt, and what follows from it, in one step: told by a callback, it would cost a turn of the
@@ -359,11 +391,11 @@
                 held.call, address, action.timeout_us, lambda: self._directory.is_ready(backend)
             )
         del self._running[key]
-        self._ended(held, key, ended, self.now() - started)
+        self._ended(held, key, ended, self._elapsed_us(held, started))
 
     def _ended(self, held: Held, key: tuple[int, int], ended: Ended, elapsed_us: int) -> None:
-        if ended.answer is not None:
-            self._finish(held, ended.answer)
+        if ended.answer is not None and not self._finish(held, ended.answer):
+            close(ended.answer)
         finished = held.id not in self._held
         event = api.AttemptEnded(*key, ended.outcome, elapsed_us, finished)
         self._tell(self.balancer.on_attempt_ended, event, held)
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import re
 import socket
 import struct
@@ -12,16 +13,18 @@
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from itertools import chain, islice
 from typing import Protocol
 from urllib.parse import parse_qs, unquote
 
 import h11
 
-from sorrelfront.agent import Agent, Held
+from sorrelfront.agent import UPLOAD_RATE_LEAST, Agent, Held, close
 from sorrelfront.decisions.interface import Effect, RequestClass
-from sorrelfront.messages import Address, Answer, Call, Final, Headers, Refused
-from sorrelfront.net.budget import BODY_MOST, BodyBudget, BodyShare, Descriptors
+from sorrelfront.messages import Address, Answer, Call, Final, Headers, Refused, Stream
+from sorrelfront.net.bodies import Upload
+from sorrelfront.net.budget import BODY_MOST, STREAM_MOST, BodyBudget, BodyShare, Descriptors
 from sorrelfront.net.heads import HEAD_END, HEAD_MOST, RequestHead, framed, request_head
 from sorrelfront.net.http import KERNEL_BUFFER, PIECES_IN_A_ROW, Payload, Wire, end_to_end, frame
 
@@ -37,6 +40,8 @@
 # From the connection's start, or a request's first byte, to the request's last. Clients that only open
 # connections may be closed after 2 s, and those that send no whole request are owed an end within 3 s.
 WHOLE_S = 2.4
+# A body that comes at UPLOAD_RATE_LEAST or faster may take its time, as long as no pause in it is longer.
+PAUSE_S = 1.0
 # Between requests. Risk: those that ask once and stay hold a descriptor each for good, here and where they
 # run, and clients have only so many: their next request then finds none. Harm: who asks seldom connects anew.
 IDLE_S = 2.0
@@ -118,6 +123,7 @@
         # do; so who has sent nothing yet stands apart, and goes first.
         self._silent: OrderedDict[_Client, None] = OrderedDict()
         self._resting: OrderedDict[_Client, None] = OrderedDict()
+        self.uploading: set[_Client] = set()  # whose requests are passed on while they come
         self._changed = asyncio.Event()
         self._in_a_row = ACCEPTS_IN_A_ROW
         if isinstance(address, socket.socket):
@@ -248,7 +254,7 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             now = time.monotonic()
-            for client in [*self._silent, *self._resting]:
+            for client in [*self._silent, *self._resting, *self.uploading]:
                 client.expire(now)
             if self._drained_at is not None and not self.closing:
                 self._end_drained(now - GOING_AWAY_S)
@@ -384,6 +390,8 @@
         self._abort = False
         self._answered_last = False
         self._deaf = False  # what comes from now on is read past
+        self._upload: Upload | None = None  # the body that is passed on while it comes
+        self._body_since = 0.0  # when the body that is being read began
         self._until = time.monotonic() + WHOLE_S  # for a whole request, or at rest for the next to begin
         self._answered = time.monotonic()  # when it was last owed nothing more
         self._writer: asyncio.Task[None] | None = None
@@ -409,7 +417,7 @@
     @property
     def unfinished(self) -> bool:
         """Whether part of a request has come, and is owed an answer once no more of it is waited for."""
-        return self._begun and not self._turns and not self._deaf
+        return self._begun and not self._turns and not self._deaf and self._upload is None
 
     def end(self) -> bool:
         """Close if it is owed nothing and nothing of a request has come. Whether it is closed.
@@ -433,9 +441,13 @@
 
     def expire(self, now: float) -> None:
         """Its time may be up: an answer if part of a request has come, the end if nothing has."""
-        if now < self._until or self._turns or self._deaf:
+        if now < self._until or self._deaf:
             return
-        if self._begun:
+        if self._upload is not None:
+            self._broken()  # its answer has its place already, and the request is not yet taken
+        elif self._turns:
+            return
+        elif self._begun:
             self.turn_away(408, "the request did not come whole in time")
         else:
             self.end()
@@ -461,6 +473,10 @@
         writer, self._writer = self._writer, None
         if writer is not None:
             writer.cancel()
+        if self._upload is not None:
+            self._upload.break_off()
+            self._upload = None
+            self._listener.uploading.discard(self)
         if self._linger is not None:
             self._linger.cancel()
         if self._share is not None:
@@ -478,6 +494,8 @@
         if turn.held is not None:
             self._listener.taken -= 1
             self._agent.abandon(turn.held)
+        if turn.answer.done() and not turn.answer.cancelled():
+            close(turn.answer.result())
 
     # Requests
 
@@ -536,7 +554,7 @@
         if len(self._turns) >= PIPELINE_MOST:
             raise BadRequest(429, "too many requests at once on one connection")
         call = None if _path(head) == READY else parse_call(head, self._agent)
-        if head.length > BODY_MOST:
+        if head.length > STREAM_MOST or (call is None and head.length > BODY_MOST):
             raise BadRequest(413, "the body is too long")
         body = call.payload.body if call else bytearray()
         share = self._share = self._listener.bodies.share()
@@ -544,16 +562,57 @@
         body += data[at:end]
         share.add(len(body))
         rest = data[end:]
-        while len(body) < head.length:
+        self._body_since = time.monotonic()
+        while len(body) < min(head.length, BODY_MOST):
             await share.room()
             came = await self._receive()
             missing = head.length - len(body)
             rest = came[missing:]
             share.add(min(len(came), missing))
             body += came[:missing]
-        self._take(None, call, share, head.last)
+            self._progressed(len(body))
+        upload = self._take(None, call, share, head.last, head.length if len(body) < head.length else -1)
+        while upload is not None and upload.received < head.length:
+            await self._may_go_on(upload)
+            came = await self._receive()
+            missing = head.length - upload.received
+            rest = came[missing:]
+            upload.feed(came[:missing])
+            self._progressed(upload.received)
+        self._uploaded()
         return head.last, rest
 
+    def _progressed(self, received: int) -> None:
+        """So much of a body has come. Risk: a client that sends a long body as fast as it can would be cut
+        off, or one that sends a byte now and then would hold its place for ever."""
+        now = time.monotonic()
+        if received >= UPLOAD_RATE_LEAST * (now - self._body_since):
+            self._until = max(self._until, now + PAUSE_S)
+
+    async def _may_go_on(self, upload: Upload) -> None:
+        """Wait until the body's server takes more of it. That time is not the client's."""
+        began, until = time.monotonic(), self._until
+        self._until = math.inf
+        try:
+            await upload.room()
+        finally:
+            waited = time.monotonic() - began
+            self._body_since += waited
+            self._until = until + waited
+
+    def _uploaded(self) -> None:
+        """The body has come whole, if it was passed on while it came."""
+        upload, self._upload = self._upload, None
+        if upload is None:
+            return
+        self._listener.uploading.discard(self)
+        self._begun = False
+        upload.end()
+        for turn in self._turns:
+            if turn.held is not None and turn.held.call.upload is upload:
+                self._agent.whole(turn.held)
+        self._until = time.monotonic() + IDLE_S
+
     def _take_whole(self, data: bytes) -> bool:
         """Take what is one plain request, whole and nothing else, in the step in which it comes. Whatever
         is not, or would be refused, changes nothing here and goes the usual way."""
@@ -590,16 +649,63 @@
             call = None if _path(head) == READY else parse_call(head, self._agent)
             body = call.payload.body if call else bytearray()
             share = self._share = self._listener.bodies.share()
-            await self._read_body(parser, head, body, share)
+            lengths = [int(value) for name, value in head.headers if name == b"content-length"]
+            if any(length > (STREAM_MOST if call else BODY_MOST) for length in lengths):
+                raise BadRequest(413, "the body is too long")
+            whole = await self._read_body(parser, body, share, call is not None)
         except h11.RemoteProtocolError as fault:
             status = fault.error_status_hint
             raise BadRequest(status, str(fault)) from None
-        last = parser.their_state is h11.MUST_CLOSE
-        self._take(parser, call, share, last)
+        if whole:
+            last = parser.their_state is h11.MUST_CLOSE
+            self._take(parser, call, share, last)
+            return last
+        last = head.http_version != b"1.1" or any(
+            name == b"connection" and b"close" in value.lower() for name, value in head.headers
+        )
+        upload = self._take(parser, call, share, last, lengths[0] if lengths else None)
+        assert upload is not None
+        await self._pass_on(parser, upload)
         return last
 
-    def _take(self, parser: h11.Connection | None, call: Call | None, share: BodyShare, last: bool) -> None:
-        """A request has come whole: a call, or the question whether this is ready."""
+    async def _pass_on(self, parser: h11.Connection, upload: Upload) -> None:
+        """Read the rest of a body that is not plain. Whatever is wrong with it ends the connection: its
+        answer has its place already, and its server has not had the last byte."""
+        pieces = 0
+        try:
+            while True:
+                event = parser.next_event()
+                if isinstance(event, h11.EndOfMessage):
+                    self._uploaded()
+                    return
+                if isinstance(event, h11.Data):
+                    await self._may_go_on(upload)
+                    upload.feed(bytes(event.data))
+                    self._progressed(upload.received)
+                    if upload.received > STREAM_MOST:
+                        break
+                    pieces += 1
+                    if pieces % PIECES_IN_A_ROW == 0:
+                        await asyncio.sleep(0)
+                elif event is h11.NEED_DATA:
+                    parser.receive_data(await self._receive())
+                else:
+                    break
+        except h11.RemoteProtocolError:
+            pass
+        self._abort = True
+        raise _Gone
+
+    def _take(
+        self,
+        parser: h11.Connection | None,
+        call: Call | None,
+        share: BodyShare,
+        last: bool,
+        length: int | None = -1,
+    ) -> Upload | None:
+        """A request has come whole: a call, or the question whether this is ready. Or a call whose body, of
+        this length (None: not known), goes on; then what it goes on by is returned."""
         self._share = None
         self._begun = False
         share.whole()
@@ -613,8 +719,14 @@
             text = "going away" if refusing else "ready"
             self._push_text(parser, 503 if refusing else 200, text, last)
         else:
+            if length != -1:
+                call.upload = self._upload = Upload(call.payload.body, length)
+                call.payload.body = bytearray()
+                self._begun = True  # until the rest is here
+                self._listener.uploading.add(self)
             held = self._agent.take(call)
             self._push(_Turn(parser, held.answer, share, held, last))
+        return self._upload
 
     async def _read_head(self, parser: h11.Connection, rest: bytes) -> h11.Request:
         parser.receive_data(rest)
@@ -635,10 +747,11 @@
         self._asked = True
 
     async def _read_body(
-        self, parser: h11.Connection, head: h11.Request, body: bytearray, share: BodyShare
-    ) -> None:
-        if any(name == b"content-length" and int(value) > BODY_MOST for name, value in head.headers):
-            raise BadRequest(413, "the body is too long")
+        self, parser: h11.Connection, body: bytearray, share: BodyShare, may_go_on: bool
+    ) -> bool:
+        """Read a body of up to BODY_MOST bytes, or the beginning of a longer one that `may_go_on`. Returns
+        whether it is whole."""
+        self._body_since = time.monotonic()
         if parser.they_are_waiting_for_100_continue and not self._turns:
             reply = parser.send(h11.InformationalResponse(status_code=100, headers=[]))
             await self.wire.send(reply or b"", STALL_S)
@@ -646,11 +759,14 @@
         while True:
             event = parser.next_event()
             if isinstance(event, h11.EndOfMessage):
-                return
+                return True
             if isinstance(event, h11.Data):
                 body += event.data
                 share.add(len(event.data))
+                self._progressed(len(body))
                 if len(body) > BODY_MOST:
+                    if may_go_on:
+                        return False
                     raise BadRequest(413, "the body is too long")
                 pieces += 1
                 if pieces % PIECES_IN_A_ROW == 0:
@@ -694,6 +810,10 @@
         if turn.held is not None:
             turn.held.told = self._pump
             self._listener.taken += 1
+            if self._upload is not None:
+                turn.held.told = partial(self._answered_early, self._upload)
+                if turn.held.answer.done():  # Risk: its client would wait for a taker who never comes
+                    self._upload.drop()
         self._pump()
 
     def _push_text(
@@ -704,6 +824,11 @@
         answer.set_result(Answer(status, headers, text.encode("latin-1", "replace") + b"\n"))
         self._push(_Turn(parser, answer, last=status not in (200, 503) if last is None else last))
 
+    def _answered_early(self, upload: Upload) -> None:
+        """The answer is known; what of the body nobody has taken, nobody will."""
+        upload.drop()
+        self._pump()
+
     def _pump(self) -> None:
         """Write the answers that are there, in their order, as far as the kernel takes them at once. What
         it does not take goes on in a task, and the next ones after it."""
@@ -711,7 +836,12 @@
             return
         try:
             while self._writer is None and self._turns and self._turns[0].answer.done():
-                data, last = self._word(self._turns[0])
+                data, last, stream = self._word(self._turns[0])
+                if stream is not None:
+                    self._writer = asyncio.create_task(self._stream_on(self._turns[0], data, last, stream))
+                    # Risk: a task that is cancelled before its first step closes nothing.
+                    self._writer.add_done_callback(partial(_close_stream, stream))
+                    return
                 sent = self.wire.send_now(data)
                 if sent < len(data):
                     self._writer = asyncio.create_task(self._write_on(memoryview(data)[sent:], last))
@@ -734,6 +864,32 @@
         if not self._written(last):
             self._pump()
 
+    async def _stream_on(self, turn: _Turn, data: bytes, last: bool, stream: Stream) -> None:
+        """Pass on an answer while it comes. One piece at a time is held here: what the client does not take,
+        the server feels. Whatever goes wrong cuts the client off, which then knows that it is not whole."""
+        chunked = turn.parser is None and stream.length is None
+        try:
+            while piece := await stream.read():
+                if turn.parser is not None:
+                    data += turn.parser.send(h11.Data(data=piece)) or b""
+                else:
+                    data += b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece
+                await self.wire.send(data, STALL_S)
+                data = b""
+            if turn.parser is not None:
+                data += turn.parser.send(h11.EndOfMessage()) or b""
+            elif chunked:
+                data += b"0\r\n\r\n"
+            await self.wire.send(data, STALL_S)
+        except (OSError, h11.LocalProtocolError):
+            self._broken()
+            return
+        if turn.parser is not None:
+            last = turn.parser.our_state is not h11.DONE
+        self._writer = None
+        if not self._written(last):
+            self._pump()
+
     def _broken(self) -> None:
         # Risk: the client would take what has come for the whole.
         self._abort = True
@@ -761,13 +917,14 @@
             self._until = self._answered + (WHOLE_S if self._begun else IDLE_S)
             self._listener.rests(self)
 
-    def _word(self, turn: _Turn) -> tuple[bytes, bool]:
-        """The next answer as it goes out, and whether the connection ends with it."""
+    def _word(self, turn: _Turn) -> tuple[bytes, bool, Stream | None]:
+        """The next answer as it goes out, and whether the connection ends with it; of one that is passed on
+        while it comes, the head, and what brings the rest."""
         answer = _worded(turn.answer.result())
         if turn.share is not None:
             turn.share.release()
         turn.share = self._listener.bodies.share()
-        turn.share.add(len(answer.body))
+        turn.share.add(len(answer.body) if answer.stream is None else BODY_MOST)
         # Going away, the last answer is one with nothing behind it. Risk: a request that has come and is not
         # yet parsed would be read past after an answer that says it is the last.
         close = turn.last or (
@@ -776,12 +933,20 @@
             and not self._begun
             and self.wire.quiet()
         )
-        headers = _headers(answer, close)
+        headers = _headers(answer, close, turn.parser is None)
+        stream = answer.stream
         if turn.parser is None:
             start = b"HTTP/1.1 %d \r\n" % answer.status
-            return framed(start, headers, answer.body), close
+            return framed(start, headers, answer.body), close, stream
+        if stream is not None:
+            response = h11.Response(status_code=answer.status, headers=headers)
+            return frame(turn.parser, response), close, stream
         whole = _whole(turn.parser, answer, headers)
-        return whole, turn.parser.our_state is not h11.DONE
+        return whole, turn.parser.our_state is not h11.DONE, None
+
+
+def _close_stream(stream: Stream, _: asyncio.Task[None]) -> None:
+    stream.close()
 
 
 def _worded(final: Final) -> Answer:
@@ -798,8 +963,14 @@
     return frame(parser, response, h11.Data(data=bytes(answer.body)), h11.EndOfMessage())
 
 
-def _headers(answer: Answer, close: bool) -> Headers:
-    headers = [*answer.headers, (b"Content-Length", b"%d" % len(answer.body))]
+def _headers(answer: Answer, close: bool, plain: bool) -> Headers:
+    """`plain`: framed here, and not by h11, which says itself how a body of unknown length is framed."""
+    length = len(answer.body) if answer.stream is None else answer.stream.length
+    headers = [*answer.headers]
+    if length is not None:
+        headers.append((b"Content-Length", b"%d" % length))
+    elif plain:
+        headers.append((b"Transfer-Encoding", b"chunked"))
     if close:
         headers.append((b"Connection", b"close"))
     return headers
--- a/sorrelfront/messages.py
+++ b/sorrelfront/messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from sorrelfront.decisions import interface as api
 
@@ -11,6 +11,36 @@
 Address = tuple[str, int]
 
 
+class Upload(Protocol):
+    """A body that is passed on while it comes."""
+
+    @property
+    def length(self) -> int | None: ...
+
+    @property
+    def whole_at(self) -> float | None:
+        """When its last byte came, on the monotonic clock; None while more is to come."""
+
+    def begin(self) -> bool:
+        """Take it from its start. False if that is no longer to be had."""
+
+    async def read(self) -> bytes:
+        """The next piece, empty at the end. Raises ConnectionError."""
+
+
+class Stream(Protocol):
+    """The body of an answer that goes on while it comes. Whoever has it closes it, whatever happens."""
+
+    @property
+    def length(self) -> int | None: ...
+
+    async def read(self) -> bytes:
+        """The next piece, empty at the end. Raises OSError if the rest does not come."""
+
+    def close(self) -> None:
+        """Nobody wants more of it."""
+
+
 @dataclass(slots=True)
 class Call:
     """A client's request, read to its last byte: what the module is told, and what backends are sent. The
@@ -25,6 +55,7 @@
     cost_hint_us: int = 0
     is_retry: bool = False
     repeatable: bool = False  # a second execution does no harm, or is dropped
+    upload: Upload | None = None  # the body, if it is too long to be held
 
 
 class Refused(NamedTuple):
@@ -44,6 +75,7 @@
     status: int
     headers: Headers = field(default_factory=list)
     body: bytes | bytearray = b""
+    stream: Stream | None = None  # the body, if it is too long to be held
 
 
 @dataclass(slots=True)
--- a/sorrelfront/net/budget.py
+++ b/sorrelfront/net/budget.py
@@ -7,7 +7,8 @@
 OTHER_DESCRIPTORS = 32  # standard streams, the event loop's own, listener, discovery, and some to spare
 CLIENT_SHARE = 0.6  # of the rest; clients must never take what reaches backends
 
-BODY_MOST = 65_536  # the longest body, of a request or an answer: the protocol's limit
+BODY_MOST = 65_536  # the longest body that is held whole, of a request or an answer
+STREAM_MOST = 32 * 1024 * 1024  # the longest body of all: what is longer goes on while it comes
 SMALL_BODY = 4_096  # what every request may hold without asking: small ones never wait behind long ones
 BASE_MEMORY = 28 * 1024 * 1024  # the interpreter, connections, small bodies and answers under way
 BODY_MEMORY_SHARE = 0.4  # of the rest; the allocator rounds up, a growing body moves, heads take some too
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -17,8 +17,9 @@
 import h11
 
 from sorrelfront.decisions.interface import Outcome
-from sorrelfront.messages import Address, Answer, Call, Ended
-from sorrelfront.net.budget import BODY_MOST, Descriptors
+from sorrelfront.messages import Address, Answer, Call, Ended, Upload
+from sorrelfront.net.bodies import Broken
+from sorrelfront.net.budget import BODY_MOST, STREAM_MOST, Descriptors
 from sorrelfront.net.heads import HEAD_END, HEAD_MOST, AnswerHead, answer_head, framed
 from sorrelfront.net.http import (
     KERNEL_BUFFER,
@@ -32,6 +33,10 @@
 
 log = logging.getLogger(__name__)
 
+# The longest pause of a body that is passed on while it comes, or goes: nobody else waits for it, and cut off
+# by the agent what a server would still give is lost. Harm: one that dies without a word holds its client for
+# so long.
+STREAM_STALL_S = 10.0
 STALL_S = 0.3  # an answer that has begun and brings nothing for so long is broken; a lost packet costs 0.2
 INFORMATIONAL_MOST = 16  # 1xx answers ahead of the one that counts; more are a flood
 SETTLED_S = 0.02  # rested for so long and quiet, a connection has shown what followed its last answer
@@ -80,13 +85,23 @@
         """Send the request to this backend, once, and tell what came of it. `fit` tells whether something
         new may still go there."""
         exchange = _Exchange(self, call, address, timeout_us, fit)
+        # The time of a body that is passed on while it comes is counted from its last byte.
+        limit_s = max(0, timeout_us) / 1e6 if call.upload is None else None
         try:
-            async with asyncio.timeout(max(0, timeout_us) / 1e6):
+            async with asyncio.timeout(limit_s) as exchange.limit:
                 return await exchange.run()
         except TimeoutError:
             return exchange.late or Ended(Outcome.TIMEOUT if exchange.sent else Outcome.UNREACHABLE)
         except NoDescriptor:
             return Ended(Outcome.UNSENT)
+        except asyncio.CancelledError:
+            if exchange.late is not None and exchange.late.answer is not None:
+                stream = exchange.late.answer.stream
+                if stream is not None:
+                    stream.close()
+            raise
+        finally:
+            exchange.limit = None  # Risk: a circle of it, its task and the traceback waits for a collection
 
     # Connections
 
@@ -202,14 +217,24 @@
         self._fit = fit
         self.sent = False  # the last byte may have left: from here on the request may run
         self.late: Ended | None = None  # what had come, unread, when the time was up
+        self.limit: asyncio.Timeout | None = None  # of the whole attempt
 
     async def run(self) -> Ended:
+        upload = self._call.upload
+        if upload is not None:
+            # On a connection of its own. Risk: a rested one that breaks takes with it what cannot be sent
+            # again.
+            return await self._anew() if upload.begin() else Ended(Outcome.UNSENT)
         idle = self._upstream.take_idle(self._address, settled=self._call.repeatable)
         if idle is not None:
             wire, settled = idle
             ended = await self._on(wire, rested=True, at_once=settled and self._call.repeatable)
             if ended is not None:
                 return ended
+        return await self._anew()
+
+    async def _anew(self) -> Ended:
+        """On a new connection."""
         if not self._fit():
             return Ended(Outcome.UNREACHABLE)
         try:
@@ -225,9 +250,14 @@
         except BaseException:
             self._upstream.drop(wire)
             raise
+        upload = self._call.upload
         # What goes at once and fits the kernel's buffer needs nobody beside the one that reads the answer.
         alone = at_once and len(data) <= SEND_BYTES
-        writer = None if alone else _Writer(self, wire, data, rested, at_once)
+        writer: _Writer | _Uploader | None = None
+        if upload is not None:
+            writer = _Uploader(self, wire, data, upload)
+        elif not alone:
+            writer = _Writer(self, wire, data, rested, at_once)
         reader = _AnswerReader(self, wire, writer, rested)
         try:
             if writer is None:
@@ -259,8 +289,16 @@
         payload: Payload = self._call.payload
         headers = [item for item in payload.headers if item[0] == b"host"]
         headers += [item for item in payload.headers if item[0] != b"host"]
-        headers.append((b"X-Budget", b"%du" % self._timeout_us))
-        if payload.body or payload.method != b"GET":
+        upload = self._call.upload
+        # A long body comes without its time being counted.
+        budget_us = self._timeout_us if upload is None else self._call.budget_us
+        headers.append((b"X-Budget", b"%du" % budget_us))
+        if upload is not None:
+            if upload.length is None:
+                headers.append((b"Transfer-Encoding", b"chunked"))
+            else:
+                headers.append((b"Content-Length", b"%d" % upload.length))
+        elif payload.body or payload.method != b"GET":
             headers.append((b"Content-Length", b"%d" % len(payload.body)))
         return framed(b"%s %s HTTP/1.1\r\n" % (payload.method, payload.target), headers, payload.body)
 
@@ -308,6 +346,12 @@
         wire.shutdown(socket.SHUT_RDWR)
         return False
 
+    def goes(self) -> None:
+        """The last byte of a body that was passed on while it came goes now, and the time counts."""
+        self.sent = True
+        if self.limit is not None:
+            self.limit.reschedule(asyncio.get_running_loop().time() + self._call.budget_us / 1e6)
+
     def keep(self, wire: Wire) -> None:
         self._upstream.rest(self._address, wire)
 
@@ -371,14 +415,136 @@
             self._task.cancel()
 
 
+class _Uploader:
+    """Writes a request whose body is passed on while it comes. Its last byte goes a moment after the rest, as
+    `_Exchange.write` says. That its server has begun to drain meanwhile does not end it: for the rule on
+    drains a request goes when its first byte does."""
+
+    def __init__(self, exchange: _Exchange, wire: Wire, head: bytes, upload: Upload) -> None:
+        self._exchange = exchange
+        self._wire = wire
+        self._task = asyncio.create_task(self._run(head, upload))
+
+    async def _run(self, data: bytes, upload: Upload) -> None:
+        try:
+            while piece := await upload.read():
+                await self._wire.send(data, STREAM_STALL_S)
+                data = b"%x\r\n%b\r\n" % (len(piece), piece) if upload.length is None else piece
+            if upload.length is None:
+                data += b"0\r\n\r\n"
+            await self._wire.send(memoryview(data)[:-1], STREAM_STALL_S)
+            await asyncio.sleep(MOMENT_S)
+            self._exchange.goes()
+            try:
+                await self._wire.send(data[-1:], STREAM_STALL_S)
+            except OSError:
+                self._exchange.sent = False
+                raise
+            self._exchange.wrote()
+        except OSError:
+            # The reader sees the end of it, and any answer before that.
+            self._wire.shutdown(socket.SHUT_RDWR)
+
+    def done(self) -> bool:
+        return self._task.done()
+
+    def cancel(self) -> None:
+        self._task.cancel()
+
+
+class _Download:
+    """The rest of an answer whose body goes on while it comes. Who has it closes it, whatever happens."""
+
+    def __init__(
+        self,
+        reader: _AnswerReader,
+        wire: Wire,
+        length: int | None,
+        parser: h11.Connection | None,
+        body: bytes,
+    ) -> None:
+        """`body`: what of it has come. `parser`: of an answer that is not plain; None of one that is, whose
+        `length` is known."""
+        self.length = length
+        self._reader = reader
+        self._wire = wire
+        self._parser = parser
+        self._body = body
+        self._left = length  # still to come; None of one that only its end tells
+        self._taken = 0
+        self._over = False  # more came than belongs to it
+        self._closed = False
+
+    async def read(self) -> bytes:
+        """The next piece, empty at the end. Raises OSError if the rest does not come."""
+        try:
+            data = self._body or await self._next()
+            self._body = b""
+            self._taken += len(data)
+            if self._taken > STREAM_MOST or (self._left is not None and len(data) > self._left):
+                raise Broken("the answer is longer than one may be, or than it says")
+            if self._left is not None:
+                self._left -= len(data)
+        except BaseException:
+            self.close()
+            raise
+        return data
+
+    def close(self) -> None:
+        if not self._closed:
+            self._closed = True
+            self._reader.close()
+
+    def _end(self, whole: bool) -> bytes:
+        """All of it has come. The connection is kept if nothing is left over."""
+        if not self._closed:
+            self._closed = True
+            self._reader.done(whole)
+        return b""
+
+    async def _next(self) -> bytes:
+        if self._closed:
+            return b""
+        if self._parser is not None:
+            return await self._next_strictly(self._parser)
+        assert self._left is not None
+        if self._left == 0:
+            return self._end(not self._over)
+        data = await self._wire.receive(STREAM_STALL_S)
+        if not data:
+            raise Broken("the answer broke off")
+        self._over = len(data) > self._left
+        return data[: self._left]
+
+    async def _next_strictly(self, parser: h11.Connection) -> bytes:
+        while True:
+            try:
+                event = parser.next_event()
+                if event is h11.NEED_DATA:
+                    parser.receive_data(await self._wire.receive(STREAM_STALL_S))
+                    continue
+            except h11.RemoteProtocolError as fault:
+                raise Broken(str(fault)) from None
+            if isinstance(event, h11.Data):
+                if event.data:
+                    return bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                if self._left:
+                    raise Broken("the answer is not as long as it says")
+                return self._end(_is_whole(parser))
+            else:
+                raise Broken("the answer broke off")
+
+
 class _AnswerReader:
-    """Reads one answer. Only whole is it passed on, so a broken or spoilt one can still be tried again."""
+    """Reads one answer. One of up to BODY_MOST bytes is passed on only whole, so a broken or spoilt one can
+    still be tried again; a longer one is passed on from its first bytes on."""
 
     def __init__(
         self,
         exchange: _Exchange,
         wire: Wire,
-        writer: _Writer | None,
+        writer: _Writer | _Uploader | None,
         rested: bool,
     ) -> None:
         self._exchange = exchange
@@ -396,6 +562,7 @@
         self._response: h11.Response | None = None  # the head of a 200
         self._length: int | None = None
         self._body = bytearray()
+        self._last = False  # the connection ends with this long answer
         self._pieces = 0  # of the body, since the loop was last let go on
 
     async def run(self) -> Ended:
@@ -487,8 +654,10 @@
             return Ended(_outcome(head.status, head.headers))
         if not self._exchange.sent:
             raise Spoilt("an answer to a request that was not sent whole")
-        if head.length > BODY_MOST:
+        if head.length > STREAM_MOST:
             raise Spoilt("the answer is longer than one may be")
+        if head.length > BODY_MOST and here:
+            return self._goes_on(head, here)
         if here < head.length:
             if self.ended:
                 raise Spoilt("the answer broke off")
@@ -497,6 +666,18 @@
         body = self._data[self._at : self._at + head.length]
         return Ended(Outcome.OK, Answer(200, end_to_end(head.headers), body))
 
+    def _goes_on(self, head: AnswerHead, here: int) -> Ended:
+        """The first bytes of a long plain answer are here."""
+        body = bytes(self._data[self._at : self._at + head.length])
+        self._data = bytearray()
+        self._last = head.last or here > head.length
+        download = _Download(self, self._wire, head.length, None, body)
+        return Ended(Outcome.OK, Answer(200, end_to_end(head.headers), b"", download))
+
+    def done(self, whole: bool) -> None:
+        """A long answer has come to its end."""
+        self._done(whole and not self._last)
+
     def _parse_strictly(self, parser: h11.Connection) -> Ended | None:
         """Stops early, with `_pieces` above zero, in an answer of many small pieces."""
         while True:
@@ -516,8 +697,10 @@
                     self._informational(parser, event)
             elif isinstance(event, h11.Data):
                 self._body += event.data
-                if len(self._body) > BODY_MOST:
-                    raise Spoilt("the answer is longer than one may be")
+                if len(self._body) > BODY_MOST or (self._length or 0) > BODY_MOST:
+                    body, self._body = bytes(self._body), bytearray()
+                    download = _Download(self, self._wire, self._length, parser, body)
+                    return Ended(Outcome.OK, Answer(200, end_to_end(self._response.headers), b"", download))
                 self._pieces += 1
                 if self._pieces >= PIECES_IN_A_ROW:
                     return None
@@ -572,7 +755,7 @@
     chunked = any(name == b"transfer-encoding" for name, _ in response.headers)
     if chunked == bool(lengths):
         raise Spoilt("the length of the answer is missing or ambiguous")
-    if lengths and lengths[0] > BODY_MOST:
+    if lengths and lengths[0] > STREAM_MOST:
         raise Spoilt("the answer is longer than one may be")
     return lengths[0] if lengths else None
 
--- /dev/null
+++ b/tests/net/test_long_bodies.py
@@ -0,0 +1,416 @@
+"""Bodies that are too long to be held: passed on while they come, in both directions."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+
+from sorrelfront.fronts import http1 as front
+from sorrelfront.lab.http1 import member
+from sorrelfront.net.budget import BODY_MOST, STREAM_MOST
+from sorrelfront.platform.config import parse
+from sorrelfront.upstreams import http1 as upstream
+from tests.loopback import PATIENCE_S, Client, World, answer, request, table, until
+
+LONG = bytes(range(256)) * 8_192  # 2 MB, so that a shift or a gap shows
+
+
+class Server:
+    """Reads requests as a script wants and keeps a book of the bodies that came whole."""
+
+    def __init__(self, *, reply: bytes = answer(b"served"), early: bytes = b"", after: int = 0) -> None:
+        self.reply = reply
+        self.early = early  # sent once `after` bytes of a body have come, and no more is read
+        self.after = after
+        self.bodies: list[bytes] = []
+        self.heads: list[bytes] = []
+        self.began = asyncio.Event()
+        self.go = asyncio.Event()
+        self.go.set()
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> Server:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "{}:{}".format(*self.server.sockets[0].getsockname())
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).lower()
+                self.heads.append(head)
+                self.began.set()
+                if self.early:
+                    await reader.readexactly(self.after)
+                    writer.write(self.early)
+                    await writer.drain()
+                    await asyncio.Event().wait()
+                await self.go.wait()
+                self.bodies.append(await self._body(head, reader))
+                writer.write(self.reply or answer(b"%d" % len(self.bodies[-1])))
+                await writer.drain()
+        writer.close()
+
+    async def _body(self, head: bytes, reader: asyncio.StreamReader) -> bytes:
+        if b"transfer-encoding: chunked" in head:
+            body = b""
+            while size := int(await reader.readline(), 16):
+                body += await reader.readexactly(size)
+                await reader.readexactly(2)
+            await reader.readexactly(2)
+            return body
+        for line in head.split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                return await reader.readexactly(int(line[15:]))
+        return b""
+
+    def stop(self) -> None:
+        self.server.close()
+        for writer in self._writers:
+            writer.close()
+
+
+@contextlib.asynccontextmanager
+async def between(*servers: Server) -> AsyncIterator[World]:
+    members = [member(f"b{at}", server.address) for at, server in enumerate(servers)]
+    made = World(parse(table("127.0.0.1:9", members)))
+    try:
+        yield made
+    finally:
+        made.agent.close()
+        for server in servers:
+            server.stop()
+
+
+async def body_of(client: Client) -> tuple[int, bytes]:
+    """Status and body of an answer, however it is framed."""
+    head = (await client.head()).lower()
+    status = int(head.split()[1])
+    for line in head.split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            wanted = client.reader.readexactly(int(line[15:]))
+            return status, await asyncio.wait_for(wanted, PATIENCE_S)
+    if b"transfer-encoding: chunked" not in head:
+        return status, await asyncio.wait_for(client.reader.read(-1), PATIENCE_S)
+    body = b""
+    while size := int(await asyncio.wait_for(client.reader.readline(), PATIENCE_S), 16):
+        body += await asyncio.wait_for(client.reader.readexactly(size), PATIENCE_S)
+        await client.reader.readexactly(2)
+    await client.reader.readexactly(2)
+    return status, body
+
+
+def chunks(body: bytes, size: int) -> bytes:
+    parts = [body[at : at + size] for at in range(0, len(body), size)]
+    return b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
+
+
+def chunked(name: str, cls: str, body: bytes, size: int = 10_000) -> bytes:
+    head = request(name, cls).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    return head + chunks(body, size)
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@pytest.mark.parametrize("length", [BODY_MOST, BODY_MOST + 1, len(LONG)])
+def test_a_long_answer_comes_unchanged_and_its_connections_go_on(framing: str, length: int) -> None:
+    async def play() -> None:
+        body = LONG[:length]
+        reply = answer(body)
+        if framing == "chunked":
+            reply = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(body, 9_000)
+        server = await Server(reply=reply).start()
+        async with between(server) as made:
+            client = await made.client()
+            for number in range(3):
+                client.send(request(f"r{number}"))
+                assert await body_of(client) == (200, body)
+            assert made.upstream.opened == 1  # the same connection each time
+            assert made.agent.served == 3
+
+    asyncio.run(play())
+
+
+def test_a_long_answer_to_an_http_1_0_client_ends_with_its_connection() -> None:
+    async def play() -> None:
+        reply = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(LONG, 9_000)
+        server = await Server(reply=reply).start()
+        async with between(server) as made:
+            client = await made.client()
+            client.send(request("old").replace(b"HTTP/1.1", b"HTTP/1.0"))
+            assert await body_of(client) == (200, LONG)
+
+    asyncio.run(play())
+
+
+def test_the_first_bytes_of_a_long_answer_do_not_wait_for_the_rest() -> None:
+    async def play() -> None:
+        server = await Server(reply=answer(LONG)[:1_000]).start()
+        async with between(server) as made:
+            client = await made.client()
+            client.send(request("r"))
+            head = await client.head()
+            assert b"%d" % len(LONG) in head
+            assert await asyncio.wait_for(client.reader.readexactly(500), PATIENCE_S) == LONG[:500]
+
+    asyncio.run(play())
+
+
+def test_a_long_answer_that_breaks_off_is_cut_off_and_never_looks_whole() -> None:
+    async def play() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer(LONG)[:300_000])
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        made = World(parse(table("127.0.0.1:9", [member("b0", address)])))
+        client = await made.client()
+        client.send(request("r"))
+        await client.head()
+        with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
+            await asyncio.wait_for(client.reader.readexactly(len(LONG)), PATIENCE_S)
+        await until(lambda: made.upstream.open == 0)
+        made.agent.close()
+        server.close()
+
+    asyncio.run(play())
+
+
+def test_a_client_that_goes_in_a_long_answer_frees_its_server_s_connection() -> None:
+    async def play() -> None:
+        server = await Server(reply=answer(LONG * 4)).start()
+        async with between(server) as made:
+            client = await made.client()
+            client.send(request("r"))
+            await client.head()
+            client.writer.transport.abort()
+            await until(lambda: made.upstream.open == 0 and made.listener.connections == 0)
+            assert made.listener.taken == 0
+
+    asyncio.run(play())
+
+
+def test_an_answer_longer_than_any_may_be_is_a_failed_attempt() -> None:
+    async def play() -> None:
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (STREAM_MOST + 1)
+        server = await Server(reply=head + bytes(1_000)).start()
+        async with between(server) as made:
+            client = await made.client()
+            client.send(request("r", "pay"))
+            assert (await client.answer())[0] == 500
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("length", [BODY_MOST, BODY_MOST + 1, len(LONG)])
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@pytest.mark.parametrize("cls", ["book", "pay"])
+def test_a_long_request_reaches_one_server_once_and_unchanged(cls: str, framing: str, length: int) -> None:
+    async def play() -> None:
+        body = LONG[:length]
+        servers = [await Server().start() for _ in range(3)]
+        async with between(*servers) as made:
+            client = await made.client()
+            for number in range(3):
+                name = f"r{number}"
+                client.send(chunked(name, cls, body) if framing == "chunked" else request(name, cls, body))
+                assert await body_of(client) == (200, b"served")
+            assert [got == body for server in servers for got in server.bodies] == [True] * 3
+            assert made.upstream.written == 3
+            await until(lambda: not made.listener.uploading)
+
+    asyncio.run(play())
+
+
+def test_requests_behind_a_long_one_are_served_in_their_order() -> None:
+    async def play() -> None:
+        server = await Server(reply=b"").start()  # answers with the length of what it got
+        async with between(server) as made:
+            client = await made.client()
+            client.send(request("a", "pay", LONG) + request("b") + request("c", "pay", b"x"))
+            for length in (len(LONG), 0, 1):
+                assert await body_of(client) == (200, b"%d" % length)
+            assert len(server.bodies) == 3
+
+    asyncio.run(play())
+
+
+def test_what_a_server_does_not_take_is_not_read_from_its_client() -> None:
+    """Or one slow server would have its clients' bodies pile up in memory."""
+
+    async def play() -> None:
+        server = Server()
+        server.go.clear()
+        await server.start()
+        async with between(server) as made:
+            client = await made.client()
+            body = LONG * 12
+            client.send(request("r", "pay", body))
+            await asyncio.wait_for(server.began.wait(), PATIENCE_S)
+            (one,) = made.listener._clients
+            before = -1
+            # Until nothing more is taken in a quarter of a second: the kernel's buffers are full then.
+            while one._upload is not None and before != one._upload.received:
+                before = one._upload.received
+                await asyncio.sleep(0.25)
+            assert one._upload is not None and one._upload.received < len(body) // 2
+            server.go.set()
+            assert await body_of(client) == (200, b"served")
+            assert server.bodies == [body]
+
+    asyncio.run(play())
+
+
+def test_a_refusal_in_the_middle_of_a_long_request_says_that_it_never_ran() -> None:
+    """The server turns it away early; the beginning is gone by then, so no other server can have it."""
+
+    async def play() -> None:
+        early = answer(b"full", "503 Full", "X-Rejected: 1\r\n")
+        servers = [await Server(early=early, after=1_000_000).start() for _ in range(2)]
+        async with between(*servers) as made:
+            client = await made.client()
+            client.send(request("r", "pay", LONG))
+            status, head, _ = await client.answer()
+            assert status == 503 and b"retry-after" in head.lower()
+            assert sum(len(server.heads) for server in servers) == 1
+            assert not any(server.bodies for server in servers)
+            # The connection goes on behind the body, which nobody wanted.
+            for server in servers:
+                server.early = b""
+            client.send(request("again"))
+            assert (await client.answer())[0] == 200
+
+    asyncio.run(play())
+
+
+def test_a_server_that_fails_before_anything_is_passed_on_costs_another_attempt_only() -> None:
+    async def play() -> None:
+        servers = [await Server().start() for _ in range(4)]
+        servers[0].server.close()  # nobody listens there
+        servers[1].server.close()
+        async with between(*servers) as made:
+            client = await made.client()
+            for number in range(8):
+                client.send(request(f"r{number}", "pay", LONG))
+                assert await body_of(client) == (200, b"served")
+            assert sum(len(server.bodies) for server in servers) == 8
+
+    asyncio.run(play())
+
+
+def test_a_client_that_breaks_off_a_long_request_has_run_nothing() -> None:
+    async def play() -> None:
+        server = await Server().start()
+        async with between(server) as made:
+            client = await made.client()
+            client.send(request("r", "pay", LONG)[:-1])
+            await asyncio.wait_for(server.began.wait(), PATIENCE_S)
+            client.close()
+            await until(lambda: made.agent.owed == 0 and made.agent.attempts == 0)
+            await until(lambda: made.upstream.open == 0)
+            assert server.bodies == [] and made.upstream.written == 0
+
+    asyncio.run(play())
+
+
+def test_a_long_request_that_stands_still_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(front, "WHOLE_S", 0.3)
+    monkeypatch.setattr(front, "PAUSE_S", 0.3)
+
+    async def play() -> None:
+        server = await Server().start()
+        async with between(server) as made:
+            client = await made.client()
+            client.send(request("r", "pay", LONG)[:-1])
+            assert await client.ended()
+            await until(lambda: made.agent.owed == 0 and not made.listener.uploading)
+            assert server.bodies == []
+
+    asyncio.run(play())
+
+
+def test_a_slow_body_that_goes_on_coming_has_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It takes several times what a request has to come whole, above the least rate throughout."""
+    monkeypatch.setattr(front, "WHOLE_S", 0.3)
+    monkeypatch.setattr(front, "PAUSE_S", 5.0)
+    monkeypatch.setattr(front, "UPLOAD_RATE_LEAST", 1_000)
+    monkeypatch.setattr(front, "SWEEP_S", 0.05)
+
+    async def play() -> None:
+        server = await Server().start()
+        async with between(server) as made:
+            for length in (20_000, 100_000):
+                client = await made.client()
+                data = request(f"r{length}", "pay", LONG[:length])
+                step = len(data) // 20
+                for at in range(0, len(data), step):
+                    client.send(data[at : at + step])
+                    await asyncio.sleep(0.05)
+                assert await body_of(client) == (200, b"served")
+            assert server.bodies == [LONG[:20_000], LONG[:100_000]]
+
+    asyncio.run(play())
+
+
+def test_a_long_request_does_not_make_its_server_look_slow() -> None:
+    """What the server is measured by begins with the last byte."""
+
+    async def play() -> None:
+        server = await Server().start()
+        async with between(server) as made:
+            client = await made.client()
+            data = request("r", "pay", LONG)
+            client.send(data[:200_000])
+            await asyncio.wait_for(server.began.wait(), PATIENCE_S)
+            await asyncio.sleep(1.0)
+            client.send(data[200_000:])
+            assert await body_of(client) == (200, b"served")
+            (one,) = made.agent.balancer.servers.values()
+            assert one.mean * made.agent.balancer.usual["pay"].value < 900_000
+
+    asyncio.run(play())
+
+
+def test_a_server_silent_in_a_long_request_ends_with_the_budget_after_the_last_byte() -> None:
+    async def play() -> None:
+        server = await Server(reply=b"HTTP/1.1 103 Early Hints\r\n\r\n").start()
+        async with between(server) as made:
+            client = await made.client()
+            client.send(request("r", "pay", LONG, budget="300m"))
+            assert (await client.answer())[0] == 500
+            assert server.bodies == [LONG]
+
+    asyncio.run(play())
+
+
+def test_a_long_pause_in_a_long_answer_is_no_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A short answer that stands still is tried again elsewhere; of a long one the client has a part."""
+    monkeypatch.setattr(upstream, "STALL_S", 0.05)
+
+    async def play() -> None:
+        whole = answer(LONG)
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(whole[:100_000])
+                await asyncio.sleep(0.5)
+                writer.write(whole[100_000:])
+                await writer.drain()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        made = World(parse(table("127.0.0.1:9", [member("b0", address)])))
+        client = await made.client()
+        client.send(request("r"))
+        assert await body_of(client) == (200, LONG)
+        made.agent.close()
+        server.close()
+
+    asyncio.run(play())
