--- a/sorrelfront/messages.py
+++ b/sorrelfront/messages.py
@@ -84,6 +84,7 @@
 
     outcome: api.Outcome
     answer: Answer | None = None
+    tail_us: int = 0  # from the answer's first byte to its last
 
 
 Final = Answer | Refused | Failed
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -557,6 +557,7 @@
         self._writer = writer
         self._rested = rested
         self._begun = False  # part of the answer has come
+        self._first_at = 0.0  # when its first byte came
         self.ended = False  # the backend has ended its sending
         self._ahead = 0  # informational answers so far
         self._response: h11.Response | None = None  # the head of a 200
@@ -578,6 +579,7 @@
                 # Risk: an answer that says it is longer than it is would hold its request until the deadline.
                 raise Spoilt("the answer stood still") from None
             self._heard(data)
+        ended.tail_us = int((time.monotonic() - self._first_at) * 1e6)
         return ended
 
     def close(self) -> None:
@@ -607,7 +609,9 @@
         if data and self._rested and not self._exchange.sent:
             # Risk: an answer to an earlier request, come late, would be taken for this one's.
             raise _Stale
-        self._begun = True
+        if not self._begun:
+            self._begun = True
+            self._first_at = time.monotonic()
         self.ended = not data
         if self._strict is not None:
             self._strict.receive_data(data)
