--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -210,6 +210,7 @@
             call.tenant,
             call.key,
             call.is_retry,
+            call.upload is not None,
         )
         self._tell(self.balancer.on_request, event, held)
         return held
@@ -220,6 +221,7 @@
             held.overdue.cancel()
             left_us = held.call.budget_us - DEADLINE_MARGIN_US + OVERDUE_US
             held.overdue = self._loop.call_later(left_us / 1e6, self._overdue, held)
+            self._tell(self.balancer.on_whole, api.Whole(held.id, self.now() + left_us - OVERDUE_US), held)
 
     def abandon(self, held: Held) -> None:
         """The client has gone away."""
@@ -397,8 +399,8 @@
         if ended.answer is not None and not self._finish(held, ended.answer):
             close(ended.answer)
         finished = held.id not in self._held
-        # Risk: a peer that writes its answer slowly, piece by piece, would pass for one with a queue, and what
-        # would be served in time is refused. What was waited for is the answer's first byte.
+        # Risk: a peer that writes its answer slowly, piece by piece, passes for one with a queue, and what would
+        # be served in time is refused. What was waited for is the answer's first byte.
         waited_us = max(0, elapsed_us - ended.tail_us)
         event = api.AttemptEnded(*key, ended.outcome, waited_us, finished)
         self._tell(self.balancer.on_attempt_ended, event, held)
--- a/sorrelfront/decisions/balancer.py
+++ b/sorrelfront/decisions/balancer.py
@@ -227,13 +227,14 @@
 class Held:
     """A request that still owes its final answer."""
 
-    __slots__ = ("arrived", "attempts", "cls", "expected_us", "open", "request", "risky", "tried")
+    __slots__ = ("arrived", "arriving", "attempts", "cls", "expected_us", "open", "request", "risky", "tried")
 
     def __init__(self, request: api.Request, cls: api.RequestClass, expected_us: float, now: int) -> None:
         self.request = request
         self.cls = cls
         self.expected_us = expected_us
         self.arrived = now
+        self.arriving = request.arriving
         self.attempts = 0
         self.open: set[int] = set()
         self.tried: list[Server] = []  # as many as attempts
@@ -366,6 +367,21 @@
         held = self.held.get(int(event.tag)) if event.tag.isdigit() else None
         return [] if held is None or held.open else self._place(held, now)
 
+    def on_whole(self, event: api.Whole, now: int) -> list[api.Action]:
+        """An arriving request is whole: what is out for it is pending from now on."""
+        held = self.held.get(event.request_id)
+        if held is None or not held.arriving:
+            return []
+        held.arriving = False
+        held.arrived = now
+        held.request = held.request._replace(deadline_us=event.deadline_us, arriving=False)
+        for attempt in sorted(held.open):
+            key = (event.request_id, attempt)
+            server, expected_us, cls, _ = self.attempts[key]
+            self.attempts[key] = (server, expected_us, cls, len(server.pending))
+            server.pending[key] = (now, expected_us)
+        return []
+
     def on_stream_started(self, event: api.StreamStarted, now: int) -> list[api.Action]:
         return []  # the client has it now, with no deadline; the attempt's end will be told as any other
 
@@ -378,8 +394,10 @@
         if key not in self.attempts:
             return []
         server, expected_us, cls, ahead = self.attempts.pop(key)
-        server.pending.pop(key, None)
-        self._learn(server, event, expected_us, cls, ahead, now)
+        worked = server.pending.pop(key, None) is not None
+        # Called off before the server had all of it, it tells nothing of the server.
+        if worked or event.outcome is not api.Outcome.CANCELLED:
+            self._learn(server, event, expected_us, cls, ahead, now)
         held = self.held.get(event.request_id)
         if held is None:
             return []
@@ -468,7 +486,9 @@
             return self._end(held)
         key = (held.request.id, held.attempts)
         self.attempts[key] = (server, held.expected_us, held.cls, len(server.pending))
-        server.pending[key] = (now, held.expected_us)
+        if not held.arriving:
+            # Risk: a client that sends slowly would make its server look silent, and crowded for as long.
+            server.pending[key] = (now, held.expected_us)
         held.risky[held.attempts] = (now, server.info)
         held.open.add(held.attempts)
         held.tried.append(server)
--- a/sorrelfront/decisions/interface.py
+++ b/sorrelfront/decisions/interface.py
@@ -138,6 +138,14 @@
     tenant: str = ""
     key: str = ""
     is_retry: bool = False
+    arriving: bool = False  # its body is still on its way, and goes on to the server while it comes
+
+
+class Whole(NamedTuple):
+    """The last byte of an arriving request has come: from now on its server works on it."""
+
+    request_id: int
+    deadline_us: int  # clock time at which the client gives up this try, counted from its last byte
 
 
 class AttemptEnded(NamedTuple):
