--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -399,8 +399,8 @@
         if ended.answer is not None and not self._finish(held, ended.answer):
             close(ended.answer)
         finished = held.id not in self._held
-        # Risk: a peer that writes its answer slowly, piece by piece, passes for one with a queue, and what would
-        # be served in time is refused. What was waited for is the answer's first byte.
+        # Risk: a peer that writes its answer slowly, piece by piece, passes for one with a queue, and what
+        # would be served in time is refused. What was waited for is the answer's first byte.
         waited_us = max(0, elapsed_us - ended.tail_us)
         event = api.AttemptEnded(*key, ended.outcome, waited_us, finished)
         self._tell(self.balancer.on_attempt_ended, event, held)
