--- a/sorrelfront/platform/orders_file.py
+++ b/sorrelfront/platform/orders_file.py
@@ -22,7 +22,7 @@
 
 log = logging.getLogger(__name__)
 
-LOCK_TRIES = 50
+LOCK_TRIES = 200
 LOCK_PAUSE_S = 0.001
 LOOK_S = 0.1  # between looks: a drain has to hold within 500 ms of the order
 BYTES_MOST = 4 * 1024 * 1024  # above OUT_MOST ids of ID_MOST characters at four bytes less than a third
--- a/sorrelfront/platform/upgrade.py
+++ b/sorrelfront/platform/upgrade.py
@@ -87,9 +87,9 @@
             self._channel.send(json.dumps({"ready": True}).encode())
 
     def close(self) -> None:
-        if self._channel.fileno() >= 0:
+        if self._told is not None and self._channel.fileno() >= 0:
             asyncio.get_running_loop().remove_reader(self._channel.fileno())
-            self._channel.close()
+        self._channel.close()
 
     def _heard(self) -> None:
         try:
@@ -119,10 +119,10 @@
         with _short(folder) as path:
             channel.connect(path)
         if _own_user(channel):
-            data, descriptors, _, _ = socket.recv_fds(channel, MESSAGE_MOST, 1)
+            data, descriptors, flags, _ = socket.recv_fds(channel, MESSAGE_MOST, 1)
             hello = _message(data) or {}
             wanted = {"version": VERSION, "listen": [*listen]}
-            if hello == wanted and len(descriptors) == 1:
+            if hello == wanted and len(descriptors) == 1 and not flags & socket.MSG_CTRUNC:
                 listening = socket.socket(fileno=descriptors.pop())
                 if listening.getsockname() == listen:
                     return Predecessor(channel, listening)
