--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -494,6 +494,7 @@
         if turn.held is not None:
             self._listener.taken -= 1
             self._agent.abandon(turn.held)
+        # Risk: a task that is cancelled before its first step, or that writes, closes no stream of its own.
         if turn.answer.done() and not turn.answer.cancelled():
             close(turn.answer.result())
 
@@ -839,8 +840,6 @@
                 data, last, stream = self._word(self._turns[0])
                 if stream is not None:
                     self._writer = asyncio.create_task(self._stream_on(self._turns[0], data, last, stream))
-                    # Risk: a task that is cancelled before its first step closes nothing.
-                    self._writer.add_done_callback(partial(_close_stream, stream))
                     return
                 sent = self.wire.send_now(data)
                 if sent < len(data):
@@ -945,10 +944,6 @@
         return whole, turn.parser.our_state is not h11.DONE, None
 
 
-def _close_stream(stream: Stream, _: asyncio.Task[None]) -> None:
-    stream.close()
-
-
 def _worded(final: Final) -> Answer:
     """A final answer in HTTP's words."""
     if isinstance(final, Answer):
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -16,6 +16,7 @@
 
 import h11
 
+from sorrelfront.agent import DEADLINE_MARGIN_US
 from sorrelfront.decisions.interface import Outcome
 from sorrelfront.messages import Address, Answer, Call, Ended, Upload
 from sorrelfront.net.bodies import Broken
@@ -347,10 +348,14 @@
         return False
 
     def goes(self) -> None:
-        """The last byte of a body that was passed on while it came goes now, and the time counts."""
+        """The last byte of a body that was passed on while it came goes now. The time counts from when it
+        came. Risk: counted from now, the agent would have to answer before the attempt is given up."""
         self.sent = True
-        if self.limit is not None:
-            self.limit.reschedule(asyncio.get_running_loop().time() + self._call.budget_us / 1e6)
+        upload = self._call.upload
+        if self.limit is not None and upload is not None and upload.whole_at is not None:
+            spent_s = time.monotonic() - upload.whole_at
+            left_s = (self._call.budget_us - DEADLINE_MARGIN_US) / 1e6 - spent_s
+            self.limit.reschedule(asyncio.get_running_loop().time() + left_s)
 
     def keep(self, wire: Wire) -> None:
         self._upstream.rest(self._address, wire)
--- a/tests/net/test_long_bodies.py
+++ b/tests/net/test_long_bodies.py
@@ -13,7 +13,7 @@
 from sorrelfront.net.budget import BODY_MOST, STREAM_MOST
 from sorrelfront.platform.config import parse
 from sorrelfront.upstreams import http1 as upstream
-from tests.loopback import PATIENCE_S, Client, World, answer, request, table, until
+from tests.loopback import PATIENCE_S, Backend, Client, World, answer, request, table, until, world
 
 LONG = bytes(range(256)) * 8_192  # 2 MB, so that a shift or a gap shows
 
@@ -75,9 +75,9 @@
 
 
 @contextlib.asynccontextmanager
-async def between(*servers: Server) -> AsyncIterator[World]:
+async def between(*servers: Server, **changes: int) -> AsyncIterator[World]:
     members = [member(f"b{at}", server.address) for at, server in enumerate(servers)]
-    made = World(parse(table("127.0.0.1:9", members)))
+    made = World(parse(table("127.0.0.1:9", members, **changes)))
     try:
         yield made
     finally:
@@ -184,11 +184,12 @@
 
 def test_a_client_that_goes_in_a_long_answer_frees_its_server_s_connection() -> None:
     async def play() -> None:
-        server = await Server(reply=answer(LONG * 4)).start()
+        server = await Server(reply=answer(LONG * 16)).start()
         async with between(server) as made:
             client = await made.client()
             client.send(request("r"))
             await client.head()
+            await asyncio.sleep(0.5)  # until the kernel's buffers are full, and the agent waits to write
             client.writer.transport.abort()
             await until(lambda: made.upstream.open == 0 and made.listener.connections == 0)
             assert made.listener.taken == 0
@@ -289,6 +290,26 @@
     asyncio.run(play())
 
 
+def test_a_long_request_that_is_refused_at_once_is_read_to_its_end() -> None:
+    async def play() -> None:
+        server = Server()
+        server.go.clear()
+        await server.start()
+        async with between(server, mostHeld=1) as made:
+            first, client = await made.client(), await made.client()
+            first.send(request("first", "pay", b"x"))
+            await until(lambda: made.agent.owed == 1)
+            client.send(request("r", "pay", LONG))
+            assert (await client.answer())[0] == 503
+            server.go.set()
+            assert (await first.answer())[0] == 200
+            client.send(request("again"))
+            assert (await client.answer())[0] == 200
+            assert server.bodies == [b"x", b""]
+
+    asyncio.run(play())
+
+
 def test_a_server_that_fails_before_anything_is_passed_on_costs_another_attempt_only() -> None:
     async def play() -> None:
         servers = [await Server().start() for _ in range(4)]
@@ -304,10 +325,11 @@
     asyncio.run(play())
 
 
-def test_a_client_that_breaks_off_a_long_request_has_run_nothing() -> None:
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_a_client_that_breaks_off_a_long_request_has_run_nothing(may_cancel: bool) -> None:
     async def play() -> None:
         server = await Server().start()
-        async with between(server) as made:
+        async with between(server, mayCancel=may_cancel) as made:
             client = await made.client()
             client.send(request("r", "pay", LONG)[:-1])
             await asyncio.wait_for(server.began.wait(), PATIENCE_S)
@@ -377,7 +399,28 @@
     asyncio.run(play())
 
 
-def test_a_server_silent_in_a_long_request_ends_with_the_budget_after_the_last_byte() -> None:
+def test_a_long_request_is_pending_once_it_is_whole() -> None:
+    async def play() -> None:
+        server = await Server(reply=b"HTTP/1.1 103 Early Hints\r\n\r\n").start()
+        async with between(server) as made:
+            client = await made.client()
+            data = request("r", "pay", LONG)
+            client.send(data[:-1])
+            await asyncio.wait_for(server.began.wait(), PATIENCE_S)
+            (one,) = made.agent.balancer.servers.values()
+            assert not one.pending
+            client.send(data[-1:])
+            await until(lambda: len(server.bodies) == 1)
+            assert len(one.pending) == 1
+            client.close()
+            await until(lambda: not one.pending)
+
+    asyncio.run(play())
+
+
+def test_a_server_silent_in_a_long_request_ends_with_the_budget_after_the_last_byte(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     async def play() -> None:
         server = await Server(reply=b"HTTP/1.1 103 Early Hints\r\n\r\n").start()
         async with between(server) as made:
@@ -385,6 +428,7 @@
             client.send(request("r", "pay", LONG, budget="300m"))
             assert (await client.answer())[0] == 500
             assert server.bodies == [LONG]
+            assert "overdue" not in caplog.text  # by the attempt's own time, and not by the last resort
 
     asyncio.run(play())
 
@@ -414,3 +458,44 @@
         server.close()
 
     asyncio.run(play())
+
+
+def test_a_stream_whose_writer_never_began_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The client goes in the step in which its answer comes."""
+    pump = front._Client._pump
+
+    def and_end(client: front._Client) -> None:
+        pump(client)
+        if client._writer is not None:
+            client._finish()
+
+    monkeypatch.setattr(front._Client, "_pump", and_end)
+
+    async def play() -> None:
+        server = await Server(reply=answer(LONG)).start()
+        async with between(server) as made:
+            client = await made.client()
+            client.send(request("r"))
+            assert await client.ended()
+            await until(lambda: made.upstream.open == 0)
+
+    asyncio.run(play())
+
+
+def test_a_server_that_writes_slowly_is_measured_by_its_first_byte(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "STALL_S", 30.0)
+
+    async def play() -> None:
+        async def slowly(_: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer(b"served")[:10])
+            await asyncio.sleep(1.0)
+            writer.write(answer(b"served")[10:])
+
+        backend = await Backend(slowly).start()
+        async with world(backend) as made:
+            client = await made.client()
+            client.send(request("r"))
+            assert (await client.answer())[0] == 200
+            assert made.agent.balancer.usual["look"].value < 900_000
+
+    asyncio.run(play())
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -107,7 +107,9 @@
     return status, body
 
 
-def test_callers_that_say_nothing_keep_nobody_out() -> None:
+def test_callers_that_say_nothing_keep_nobody_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(control, "SPEAK_S", 1_000.0)
+
     async def play() -> None:
         async with port(Sheet()) as made:
             silent = [await connect(made.address) for _ in range(3 * control.PEERS_MOST)]
@@ -117,6 +119,8 @@
             for _ in range(5):
                 assert (await asked(made.address, "/ready"))[0] == 200
             assert len(made._peers) <= control.PEERS_MOST
+            for client in silent[: control.PEERS_MOST]:
+                assert await client.ended()
             for client in silent:
                 client.close()
             await until(lambda: not made._peers and not made._speaking)
@@ -268,6 +272,8 @@
 
 def test_drained_it_says_no_and_its_connections_end_without_a_loss(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(front, "GOING_AWAY_S", 0.1)
+    monkeypatch.setattr(front, "IDLE_S", 1_000.0)  # none goes for having rested too long, or said nothing
+    monkeypatch.setattr(front, "WHOLE_S", 1_000.0)
 
     async def play() -> None:
         go = asyncio.Event()
@@ -310,6 +316,25 @@
     asyncio.run(play())
 
 
+def test_who_connects_to_a_drained_agent_has_time_to_ask(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(front, "GOING_AWAY_S", 5.0)
+
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        registry = await Registry().start()
+        async with operated(backend, registry=registry) as (made, _):
+            made.listener.drain(True)
+            assert made.listener._drained_at is not None
+            made.listener._drained_at -= 10.0
+            client = await made.client()
+            await asyncio.sleep(3 * front.SWEEP_S)
+            client.send(request("a"))
+            assert (await client.answer())[0] == 200
+            made.listener._sweeping.cancel()
+
+    asyncio.run(play())
+
+
 async def health(made: World) -> int:
     client: Client = await made.client()
     client.send(b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
--- a/tests/platform/test_upgrade.py
+++ b/tests/platform/test_upgrade.py
@@ -155,6 +155,54 @@
     asyncio.run(play())
 
 
+def test_once_the_next_version_serves_the_old_one_takes_nobody(tmp_path: Path) -> None:
+    """And whoever it has is told with the next answer to come again."""
+
+    async def play() -> None:
+        async with site(tmp_path) as made:
+            old = await (await made.version()).ready()
+            peer = Peer(made.address)
+            peer.send(request("first"))
+            assert await peer.answer() == b"HTTP/1.1 200 " and not peer.told_to_close
+            new = await (await made.version()).ready()
+            await until(lambda: "the next version serves" in old.log.read_text())
+            for number in range(40):
+                one = Peer(made.address)
+                one.send(request(f"new{number}"))
+                assert await one.answer() == b"HTTP/1.1 200 "
+                one.close()
+            assert (await new.figures())["success.look"] == 40
+            peer.send(request("last"))
+            assert await peer.answer() == b"HTTP/1.1 200 " and peer.told_to_close
+            assert (await old.figures())["success.look"] == 2
+
+    asyncio.run(play())
+
+
+def test_the_old_version_leaves_the_queue_as_long_as_it_was(tmp_path: Path) -> None:
+    """Shortened by the one that ends, it would leave those that come to their kernels' second tries."""
+
+    async def play() -> None:
+        async with site(tmp_path) as made:
+            old = await (await made.version()).ready()
+            new = await (await made.version()).ready()
+            assert await old.stop() == 0
+            os.kill(new.process.pid, signal.SIGSTOP)
+            try:
+                waiting = []
+                for number in range(60):
+                    sock = socket.create_connection(made.address, 0.9)  # a second try comes after 1 s
+                    waiting.append(Peer(made.address, sock))
+                    waiting[-1].send(request(f"w{number}"))
+            finally:
+                os.kill(new.process.pid, signal.SIGCONT)
+            for peer in waiting:
+                assert await peer.answer() == b"HTTP/1.1 200 "
+                peer.close()
+
+    asyncio.run(play())
+
+
 def test_without_a_shared_folder_the_next_version_listens_beside_it(tmp_path: Path) -> None:
     async def play() -> None:
         async with site(tmp_path, shared=False) as made:
