An exchange on a rested connection takes no task while nothing is unusual

Capacity: four turns of the loop a request, two of them for the attempt's task and its reader's future. Now the request goes in the step that decides on it, and an answer that is whole in one read ends it in the step that reads it; all else goes on in a task by the code that it always took. Not taken: driving the coroutine by hand (eager tasks), since asyncio.timeout wants a task.

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -6,6 +6,7 @@
 import logging
 import time
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Protocol, TypeVar
 
 from sorrelfront.decisions import interface as api
@@ -41,9 +42,26 @@
         return self._anchor_us + time.monotonic_ns() // 1000
 
 
+class Running(Protocol):
+    """An attempt under way."""
+
+    def cancel(self) -> object: ...
+
+
 class Upstream(Protocol):
     """What carries attempts out."""
 
+    def begin(
+        self,
+        call: Call,
+        address: Address,
+        timeout_us: int,
+        fit: Callable[[], bool],
+        done: Callable[[Ended], None],
+    ) -> Running | None:
+        """As `attempt`, where that takes no waiting for a connection. `done` is called once, in a later step,
+        also if it is called off. None: nothing has begun."""
+
     async def attempt(
         self, call: Call, address: Address, timeout_us: int, fit: Callable[[], bool]
     ) -> Ended: ...
@@ -119,7 +137,7 @@
         self._source = source(config, self._on_update, self._on_failure)
         self._held: dict[int, Held] = {}
         self._open_ids: set[bytes] = set()  # of the held requests, as their clients named them
-        self._running: dict[tuple[int, int], asyncio.Task[None]] = {}
+        self._running: dict[tuple[int, int], Running] = {}
         self._count = 0
         self.tallies = {name: Tally() for name in self._classes}
 
@@ -353,8 +371,23 @@
         key = (held.id, held.attempts)
         held.attempts += 1
         started = self.now()
+        backend = action.backend
+        address = self._directory.address(backend)
+        if address is not None:
+            running = self._upstream.begin(
+                held.call, address, action.timeout_us,
+                lambda: self._directory.is_ready(backend), partial(self._done, held, key, started),
+            )  # fmt: skip
+            if running is not None:
+                self._running[key] = running
+                return
         task = self._running[key] = asyncio.create_task(self._exchange(held, key, action, started))
-        task.add_done_callback(lambda done: self._broke_off(held, key, action.backend, done, started))
+        task.add_done_callback(lambda done: self._broke_off(held, key, backend, done, started))
+
+    def _done(self, held: Held, key: tuple[int, int], started: int, ended: Ended) -> None:
+        """An attempt without a task of the agent's has ended."""
+        del self._running[key]
+        self._ended(held, key, ended, self._elapsed_us(held, started))
 
     def _broke_off(
         self, held: Held, key: tuple[int, int], backend: str, task: asyncio.Task[None], started: int
--- a/sorrelfront/net/http.py
+++ b/sorrelfront/net/http.py
@@ -40,7 +40,9 @@
     in a future loses it when the reader is cancelled in between, and who decides to close sees nothing of it.
     """
 
-    __slots__ = ("_at_rest", "_fd", "_inbox", "_loop", "_waiter", "_watched", "closed", "shortcut", "sock")
+    __slots__ = (
+        "_at_rest", "_fd", "_hears", "_inbox", "_loop", "_waiter", "_watched", "closed", "shortcut", "sock",
+    )  # fmt: skip
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
@@ -53,6 +55,7 @@
         self._inbox: bytes | OSError | None = None  # taken from the kernel, and by nobody from here
         self._waiter: asyncio.Future[None] | None = None
         self._at_rest: Callable[[], None] | None = None
+        self._hears: Callable[[bytes | OSError], None] | None = None
         # The loop watches for input from the first wait to the end: asked for each wait anew, it would cost
         # two calls to the kernel a message. Input that nobody waits for stops the watch until the next wait.
         self._watched = False
@@ -96,6 +99,25 @@
         """The rest is over."""
         self._at_rest = None
 
+    def listen(self, hears: Callable[[bytes | OSError], None] | None) -> None:
+        """Have what comes handed over in the loop's callback that reads it: bytes, none at the peer's end, or
+        what is wrong. It takes no future and no turn of the loop. None: for `receive` again."""
+        self._hears = hears
+        if hears is not None:
+            self._watch()
+
+    def _hear(self, hears: Callable[[bytes | OSError], None]) -> None:
+        data: bytes | OSError
+        try:
+            data = self.sock.recv(RECEIVE_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as fault:
+            data = fault
+        if not data or isinstance(data, OSError):
+            self._unwatch()  # an end stays readable
+        hears(data)
+
     def _take(self) -> bytes:
         inbox, self._inbox = self._inbox, None
         if isinstance(inbox, OSError):
@@ -114,6 +136,9 @@
             self._loop.remove_reader(self._fd)
 
     def _readable(self) -> None:
+        if self._hears is not None:
+            self._hear(self._hears)
+            return
         waiter = self._waiter
         if waiter is None or waiter.done():
             # Risk: a peer that sends on unread would wake the loop for ever, and fill memory if it were read.
@@ -179,7 +204,7 @@
         # Risk: a waiter's clean-up runs later and would unregister whoever got this descriptor's number next.
         self._unwatch()
         self._loop.remove_writer(self._fd)
-        self._at_rest = self.shortcut = None
+        self._at_rest = self.shortcut = self._hears = None
         with contextlib.suppress(OSError):
             if abort:
                 self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -11,7 +11,7 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from functools import partial
 
 import h11
@@ -88,9 +88,39 @@
         exchange = _Exchange(self, call, address, timeout_us, fit)
         # The time of a body that is passed on while it comes is counted from its last byte.
         limit_s = max(0, timeout_us) / 1e6 if call.upload is None else None
+        return await self.within(limit_s, exchange, exchange.run)
+
+    def begin(
+        self,
+        call: Call,
+        address: Address,
+        timeout_us: int,
+        fit: Callable[[], bool],
+        done: Callable[[Ended], None],
+    ) -> _Quick | None:
+        """The same on a connection that rests, without a task of its own while nothing is unusual. `done` is
+        called once, in a later step. None: no connection rests there, and nothing has begun."""
+        if call.upload is not None or timeout_us <= 0:
+            return None
+        idle = self.take_idle(address, settled=call.repeatable)
+        if idle is None:
+            return None
+        wire, settled = idle
+        exchange = _Exchange(self, call, address, timeout_us, fit)
+        try:
+            data = exchange.frame()
+        except Exception:  # told by the exchange that is begun in its place
+            self.drop(wire)
+            return None
+        return _Quick(self, exchange, wire, data, settled and call.repeatable, timeout_us, done)
+
+    async def within(
+        self, limit_s: float | None, exchange: _Exchange, run: Callable[[], Awaitable[Ended]]
+    ) -> Ended:
+        """What an exchange comes to in its time."""
         try:
             async with asyncio.timeout(limit_s) as exchange.limit:
-                return await exchange.run()
+                return await run()
         except TimeoutError:
             return exchange.late or Ended(Outcome.TIMEOUT if exchange.sent else Outcome.UNREACHABLE)
         except NoDescriptor:
@@ -225,16 +255,16 @@
         if upload is not None:
             # On a connection of its own. Risk: a rested one that breaks takes with it what cannot be sent
             # again.
-            return await self._anew() if upload.begin() else Ended(Outcome.UNSENT)
+            return await self.anew() if upload.begin() else Ended(Outcome.UNSENT)
         idle = self._upstream.take_idle(self._address, settled=self._call.repeatable)
         if idle is not None:
             wire, settled = idle
             ended = await self._on(wire, rested=True, at_once=settled and self._call.repeatable)
             if ended is not None:
                 return ended
-        return await self._anew()
+        return await self.anew()
 
-    async def _anew(self) -> Ended:
+    async def anew(self) -> Ended:
         """On a new connection."""
         if not self._fit():
             return Ended(Outcome.UNREACHABLE)
@@ -247,7 +277,7 @@
     async def _on(self, wire: Wire, rested: bool, at_once: bool) -> Ended | None:
         """The exchange on this connection; None if it broke before the request's last byte was written."""
         try:
-            data = self._frame()
+            data = self.frame()
         except BaseException:
             self._upstream.drop(wire)
             raise
@@ -260,20 +290,20 @@
         elif not alone:
             writer = _Writer(self, wire, data, rested, at_once)
         reader = _AnswerReader(self, wire, writer, rested)
+        return await self.read(reader, data if writer is None else b"", at_once)
+
+    async def go_on(self, reader: _AnswerReader, data: bytes) -> Ended:
+        """An exchange that was begun on a rested connection, `data` of it still to be written."""
+        return await self.read(reader, data, True) or await self.anew()
+
+    async def read(self, reader: _AnswerReader, data: bytes, at_once: bool) -> Ended | None:
+        """Write what is still to be written, and read the answer."""
         try:
-            if writer is None:
-                await self.write(wire, data, rested, at_once)
-            ended = await reader.run()
-        except (OSError, _Stale):
-            reader.close()
-            return Ended(Outcome.RESET) if self.sent else None
-        except (h11.RemoteProtocolError, Spoilt):
-            reader.close()
-            if not self.sent:
-                return None
-            # An end inside the answer is a broken connection. Noise and wrong lengths are an error: the
-            # backend is there, and to be shut for it as if it were not would cost its good answers.
-            return Ended(Outcome.RESET if reader.ended else Outcome.ERROR)
+            if data:
+                await self.write(reader.wire, data, reader.rested, at_once)
+            return await reader.run()
+        except (OSError, _Stale, h11.RemoteProtocolError, Spoilt) as fault:
+            return self.broke(reader, fault)
         except asyncio.CancelledError:
             # Risk: an answer that has come and waits for its turn would count as none, and the request as one
             # that may have run.
@@ -282,9 +312,19 @@
         except BaseException:
             reader.close()
             raise
-        return ended
 
-    def _frame(self) -> bytes:
+    def broke(self, reader: _AnswerReader, fault: Exception) -> Ended | None:
+        """What an exchange that went wrong comes to; None if its last byte was not written."""
+        reader.close()
+        if not self.sent:
+            return None
+        # An end inside the answer is a broken connection. Noise and wrong lengths are an error: the backend
+        # is there, and to be shut for it as if it were not would cost its good answers.
+        if isinstance(fault, (OSError, _Stale)) or reader.ended:
+            return Ended(Outcome.RESET)
+        return Ended(Outcome.ERROR)
+
+    def frame(self) -> bytes:
         """The request as it goes out. In one piece: each call to the kernel costs as much as framing does.
         Host comes first (RFC 9110, 7.2)."""
         payload: Payload = self._call.payload
@@ -420,6 +460,127 @@
             self._task.cancel()
 
 
+class _Quick:
+    """An exchange on a rested connection, in callbacks: the request goes in the step that decides on it, and
+    an answer that is whole in one read ends it in the step that reads it. Whatever else comes goes on in a
+    task, by the code that every other exchange takes."""
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        exchange: _Exchange,
+        wire: Wire,
+        data: bytes,
+        at_once: bool,
+        timeout_us: int,
+        done: Callable[[Ended], None],
+    ) -> None:
+        self._upstream = upstream
+        self._exchange = exchange
+        self._wire = wire
+        self._done: Callable[[Ended], None] | None = done
+        self._loop = asyncio.get_running_loop()
+        self._due = self._loop.time() + timeout_us / 1e6
+        self._task: asyncio.Task[Ended] | None = None
+        self._began = False  # the task has had its first step
+        alone = at_once and len(data) <= SEND_BYTES
+        writer = None if alone else _Writer(exchange, wire, data, True, at_once)
+        self._reader = _AnswerReader(exchange, wire, writer, True)
+        self._timer = self._loop.call_later(timeout_us / 1e6, self._time_up)
+        wire.listen(self._heard)
+        if alone:
+            self._write(data)
+
+    def _write(self, data: bytes) -> None:
+        """All of it at once; if the kernel has no room, the rest when it has."""
+        exchange = self._exchange
+        if not exchange.may_end(self._wire, True):
+            return
+        exchange.sent = True
+        try:
+            sent = self._wire.send_now(data)
+        except OSError:
+            exchange.sent = False  # the reader sees the break too, and any answer before it
+            return
+        if sent == len(data):
+            exchange.wrote()
+        else:
+            exchange.sent = False
+            self._go_on(data[sent:])
+
+    def _heard(self, data: bytes | OSError) -> None:
+        reader = self._reader
+        try:
+            if isinstance(data, OSError):
+                raise data
+            reader.heard(data)
+            ended = reader.parse()
+        except (OSError, _Stale, h11.RemoteProtocolError, Spoilt) as fault:
+            ended = self._exchange.broke(reader, fault)
+            if ended is None:
+                self._go_on(None)
+                return
+        except Exception:
+            log.exception("reading an answer failed")
+            reader.close()
+            ended = Ended(Outcome.UNKNOWN)
+        if ended is None:
+            self._go_on(b"")
+        else:
+            self._end(ended)
+
+    def _time_up(self) -> None:
+        late = self._reader.last_look()
+        self._end(late or Ended(Outcome.TIMEOUT if self._exchange.sent else Outcome.UNREACHABLE))
+
+    def cancel(self) -> None:
+        """Call it off. Told in a later step: who calls it off is in the middle of a decision."""
+        if self._task is not None:
+            self._task.cancel()
+        elif self._done is not None:
+            done, self._done = self._done, None
+            self._let_go()
+            self._reader.close()
+            self._loop.call_soon(done, Ended(Outcome.CANCELLED))
+
+    def _let_go(self) -> None:
+        self._timer.cancel()
+        if not self._wire.closed:
+            self._wire.listen(None)
+
+    def _end(self, ended: Ended) -> None:
+        done, self._done = self._done, None
+        self._let_go()
+        if done is not None:
+            done(ended)
+
+    def _go_on(self, data: bytes | None) -> None:
+        """In a task: what is still to be written, and the rest of the answer; None: all of it anew."""
+        self._let_go()
+        self._task = asyncio.create_task(self._run(data))
+        self._task.add_done_callback(self._ran)
+
+    async def _run(self, data: bytes | None) -> Ended:
+        self._began = True
+        exchange = self._exchange
+        left_s = max(0.0, self._due - self._loop.time())
+        if data is None:
+            return await self._upstream.within(left_s, exchange, exchange.anew)
+        return await self._upstream.within(left_s, exchange, partial(exchange.go_on, self._reader, data))
+
+    def _ran(self, task: asyncio.Task[Ended]) -> None:
+        self._task = None  # Risk: a circle of it, its exception's frames and this, see `Agent._broke_off`
+        if not self._began:
+            self._reader.close()
+        ended = Ended(Outcome.CANCELLED)
+        if not task.cancelled():
+            fault = task.exception()
+            if fault is not None:
+                log.error("an attempt failed", exc_info=fault)
+            ended = Ended(Outcome.UNKNOWN) if fault is not None else task.result()
+        self._end(ended)
+
+
 class _Uploader:
     """Writes a request whose body is passed on while it comes. Its last byte goes a moment after the rest, as
     `_Exchange.write` says. That its server has begun to drain meanwhile does not end it: for the rule on
@@ -558,9 +719,9 @@
         self._head: AnswerHead | None = None  # of a plain answer
         self._at = 0  # where its body begins
         self._strict: h11.Connection | None = None  # parses an answer that is not plain
-        self._wire = wire
+        self.wire = wire
         self._writer = writer
-        self._rested = rested
+        self.rested = rested
         self._begun = False  # part of the answer has come
         self._first_at = 0.0  # when its first byte came
         self.ended = False  # the backend has ended its sending
@@ -573,45 +734,45 @@
 
     async def run(self) -> Ended:
         """Read until the answer is whole. Raises Spoilt, _Stale, OSError and h11's errors."""
-        while (ended := self._parse()) is None:
+        while (ended := self.parse()) is None:
             paused, self._pieces = self._pieces >= PIECES_IN_A_ROW, 0
             if paused:
                 await asyncio.sleep(0)
                 continue
             try:
-                data = await self._wire.receive(STALL_S if self._begun else None)
+                data = await self.wire.receive(STALL_S if self._begun else None)
             except TimeoutError:
                 # Risk: an answer that says it is longer than it is would hold its request until the deadline.
                 raise Spoilt("the answer stood still") from None
-            self._heard(data)
+            self.heard(data)
         ended.tail_us = int((time.monotonic() - self._first_at) * 1e6)
         return ended
 
     def close(self) -> None:
         if self._writer is not None:
             self._writer.cancel()
-        self._exchange.drop(self._wire)
+        self._exchange.drop(self.wire)
 
     def last_look(self) -> Ended | None:
         """The answer, if all of it is here though not yet read. Either way this reader is done."""
         try:
             for _ in range(LAST_LOOKS):
-                ended = self._parse()
+                ended = self.parse()
                 if ended is not None:
                     return ended
                 paused, self._pieces = self._pieces >= PIECES_IN_A_ROW, 0
                 if not paused:
-                    data = self._wire.unread()
+                    data = self.wire.unread()
                     if not data:
                         break
-                    self._heard(data)
+                    self.heard(data)
         except (OSError, _Stale, Spoilt, h11.RemoteProtocolError):
             pass
         self.close()
         return None
 
-    def _heard(self, data: bytes) -> None:
-        if data and self._rested and not self._exchange.sent:
+    def heard(self, data: bytes) -> None:
+        if data and self.rested and not self._exchange.sent:
             # Risk: an answer to an earlier request, come late, would be taken for this one's.
             raise _Stale
         if not self._begun:
@@ -623,7 +784,7 @@
         else:
             self._data += data
 
-    def _parse(self) -> Ended | None:
+    def parse(self) -> Ended | None:
         """What has come so far; None if it is not yet the whole answer. Raises Spoilt, h11's errors."""
         if self._strict is None:
             if self._head is None and not self._read_head():
@@ -680,7 +841,7 @@
         body = bytes(self._data[self._at : self._at + head.length])
         self._data = bytearray()
         self._last = head.last or here > head.length
-        download = _Download(self, self._wire, head.length, None, body)
+        download = _Download(self, self.wire, head.length, None, body)
         return Ended(Outcome.OK, Answer(200, end_to_end(head.headers), b"", download))
 
     def done(self, whole: bool) -> None:
@@ -708,7 +869,7 @@
                 self._body += event.data
                 if len(self._body) > BODY_MOST or (self._length or 0) > BODY_MOST:
                     body, self._body = bytes(self._body), bytearray()
-                    download = _Download(self, self._wire, self._length, parser, body)
+                    download = _Download(self, self.wire, self._length, parser, body)
                     return Ended(Outcome.OK, Answer(200, end_to_end(self._response.headers), b"", download))
                 self._pieces += 1
                 if self._pieces >= PIECES_IN_A_ROW:
@@ -752,7 +913,7 @@
         """The answer has told what it tells. The connection is kept only if both messages are whole,
         nothing is left over (`whole`), and neither side ends it."""
         if whole and self._exchange.sent and self._written():
-            self._exchange.keep(self._wire)
+            self._exchange.keep(self.wire)
         else:
             self.close()
 
