--- a/sorrelfront/decisions/balancer.py
+++ b/sorrelfront/decisions/balancer.py
@@ -46,35 +46,49 @@
         self.count = 0
 
     def add(self, sample: float) -> None:
-        self.count = min(MEMORY, self.count + 1)
-        step = (sample - self.value) / self.count
+        if self.count < MEMORY:
+            self.count += 1
+        value = self.value
+        step = (sample - value) / self.count
         if step > 0.0 and self.count > 8:
             # Risk: an overload taken for usual. Then nobody sees it, and nothing is left to fall back to.
-            step = min(step, self.value / self.count) * 0.2
-        self.value += step
+            step = min(step, value / self.count) * 0.2
+        self.value = value + step
 
 
 class Recent:
     """What samples say of late, falling back to the usual value as they age. Risk: an agent that refuses on a
     few slow samples gets no new ones, and would go on refusing for ever."""
 
-    __slots__ = ("decay_us", "stamp", "usual", "value")
+    __slots__ = ("_read", "_read_at", "decay_us", "stamp", "usual", "value")
 
     def __init__(self, value: float, decay_us: float) -> None:
         self.usual = Usual(value)
         self.value = value
         self.stamp = 0
         self.decay_us = decay_us
+        self._read = 0.0
+        self._read_at = -1  # when it was read last, if it has not changed since: one event reads it often
+
+    def set(self, value: float, stamp: int) -> None:
+        self.value = value
+        self.stamp = stamp
+        self._read_at = -1
 
     def read(self, now: int) -> float:
-        usual = self.usual.value
-        return usual + (self.value - usual) * exp((self.stamp - now) / self.decay_us)
+        if now != self._read_at:
+            usual = self.usual.value
+            self._read = usual + (self.value - usual) * exp((self.stamp - now) / self.decay_us)
+            self._read_at = now
+        return self._read
 
     def add(self, sample: float, now: int) -> None:
         self.usual.add(sample)
+        self._read_at = -1
         value = self.read(now)
         self.value = value + (sample - value) * RECENT
         self.stamp = now
+        self._read_at = -1
 
 
 class Kind(Recent):
@@ -136,7 +150,12 @@
         self.warm_at = info.started_us + cold_us if info.started_us else 0
 
     def fit(self, now: int) -> bool:
-        return self.warm_at <= now and self.open(now)
+        # `open`, written out: it is asked of each server drawn.
+        return (
+            self.warm_at <= now
+            and self.shut.until <= now
+            and (self.room_until <= now or len(self.pending) < self.room)
+        )
 
     def open(self, now: int) -> bool:
         """Whether anything may be sent to it, be it cold."""
@@ -147,7 +166,7 @@
         has both, and what is sent there waits for its whole time. It is drawn again with its next good
         answer, or for a trial once nothing waits there. Harm: one that stops for a moment is left out for as
         long, and its share goes to the others."""
-        return self.at_least(0.0, now) > SILENT_LONG
+        return bool(self.pending) and self.at_least(0.0, now) > SILENT_LONG
 
     def crowded(self, now: int, for_us: int) -> None:
         """It takes no further connection and still answers. Risk: a server at its limit of connections taken
@@ -170,18 +189,25 @@
         for a second is sent as much again before its age shows. So too one that dies, hangs or is cut off.
         Harm: answers that come in batches pass for silence; hence a chance of SILENT, and no less than the
         usual latency of the oldest is waited for."""
-        if not self.pending:
+        pending = self.pending
+        if not pending:
             return value
-        sent_at, expected_us = next(iter(self.pending.values()))
-        age = (now - max(sent_at, self.heard_at)) / expected_us
-        silent = (now - max(sent_at + expected_us, self.heard_at)) / expected_us
-        return max(value, age, silent * len(self.pending) / SILENT)
+        sent_at, expected_us = next(iter(pending.values()))
+        heard_at = self.heard_at
+        age = (now - (heard_at if heard_at > sent_at else sent_at)) / expected_us
+        due_at = sent_at + expected_us
+        silent = (now - (heard_at if heard_at > due_at else due_at)) / expected_us * len(pending) / SILENT
+        if age > value:
+            value = age
+        return silent if silent > value else value
 
     def project(self, now: int) -> float:
         """The estimate, decayed to now towards what servers of its kind do. Risk: decaying to nothing, a slow
         server that was not sent to for a while would look the fastest of all."""
         kind = self.kind.read(now)
-        return kind + (self.estimate - kind) * self.weight(now)
+        if self.stamp < 0:
+            return kind + (self.estimate - kind) * 0.0
+        return kind + (self.estimate - kind) * exp((self.stamp - now) / self.decay_us)
 
     def observe(self, sample: float, now: int, waited: bool = True, ahead: int = 0) -> None:
         """The peak rule: a sample above the estimate projected to now replaces it, another is blended in.
@@ -196,14 +222,17 @@
         if waited:
             self.mean += (sample - self.mean) * SERVER_RECENT
             self.ahead += (ahead - self.ahead) * SERVER_RECENT
-        if sample > self.project(now):
+        if sample > kind + (self.estimate - kind) * weight:  # `project`
             self.estimate = sample
         else:
             self.estimate = self.estimate * weight + sample * (1.0 - weight)
         self.stamp = now
 
     def load(self, now: int) -> float:
-        return self.at_least(self.project(now), now) * (len(self.pending) + 1)
+        projected = self.project(now)
+        if not self.pending:
+            return projected
+        return self.at_least(projected, now) * (len(self.pending) + 1)
 
     def usually_ahead(self, weight: float) -> float:
         return self.kind.ahead + (self.ahead - self.kind.ahead) * weight
@@ -354,7 +383,8 @@
             expected_us *= 0.5 + 0.5 * min(8.0, event.cost_hint_us / hints.value)
         self.common_us += (self.usual[cls.name].value - self.common_us) / min(MEMORY, self.requests + 1)
         held = self.held[event.id] = Held(event, cls, max(1.0, expected_us), now)
-        self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
+        retries = self.retries + RETRY_SHARE
+        self.retries = retries if retries < RETRY_BURST else RETRY_BURST
         self.requests += 1
         if not self.requests & 31:
             self._choose_slice(now)
@@ -537,12 +567,13 @@
         """A random server that is warm, not shut and not `other`; a silent one only if no other is found. The
         last draws walk on from a random place, so that a small pool is searched through."""
         size = len(pool)
-        start = int(self.random() * size)
+        random = self.random
+        start = int(random() * size)
         silent = None
         for draw in range(2 * DRAWS):
-            server = pool[int(self.random() * size) if draw < DRAWS else (start + draw) % size]
+            server = pool[int(random() * size) if draw < DRAWS else (start + draw) % size]
             if server is not other and server.fit(now):
-                if not server.silent(now):
+                if not server.pending or not server.silent(now):
                     return server
                 silent = server
         return silent
@@ -579,6 +610,6 @@
 
     def _cancel(self, held: Held) -> list[api.Action]:
         """Call off what is still out for a finished request."""
-        if not self.settings.may_cancel:
+        if not held.open or not self.settings.may_cancel:
             return []
         return [api.CancelAttempt(held.request.id, attempt) for attempt in sorted(held.open)]
--- a/sorrelfront/decisions/learnt.py
+++ b/sorrelfront/decisions/learnt.py
@@ -197,5 +197,4 @@
 
 def _set_recent(item: Recent, row: list[float], now: int, older: int) -> None:
     _set_usual(item.usual, row)
-    item.value = row[2]
-    item.stamp = max(0, now - older - int(row[3]))
+    item.set(row[2], max(0, now - older - int(row[3])))
