--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -4,11 +4,14 @@
 
 import argparse
 import asyncio
+import gzip
+import pickle
 from pathlib import Path
 
 import pytest
 
-from benchmarks import adoption, capacity
+from benchmarks import adoption, capacity, module
+from sorrelfront.decisions import balancer
 from tests.test_process import ROOT
 
 
@@ -31,3 +34,14 @@
     assert told["answered"] > 0 and told["generation"] == 1
     for name in ("lost", "doubled", "late_drains", "refused_connects", "cut", "exit"):
         assert told[name] == 0, (name, told)
+
+
+def test_a_recorded_course_tells_two_modules_apart(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    path = tmp_path / "record"
+    with gzip.open(path, "wb") as file:
+        pickle.dump(module.World(1.2).play(), file)
+    first, second = module.replayed(path), module.replayed(path)
+    assert first["requests"] > 1_000 and len(first["minutes"]) == 2
+    assert first["minutes"] == second["minutes"]
+    monkeypatch.setattr(balancer, "SLACK", 0.5)
+    assert module.replayed(path)["minutes"] != first["minutes"]
