--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -134,6 +134,7 @@
         self._directory = Directory()
         self._orders = Orders()
         self.listed = False  # the membership source has told of the list
+        self._early = False  # asked for ahead of the module's time, and heard since
         self._source = source(config, self._on_update, self._on_failure)
         self._held: dict[int, Held] = {}
         self._open_ids: set[bytes] = set()  # of the held requests, as their clients named them
@@ -157,6 +158,13 @@
         self._run(self.balancer.start())
         self._hear(self._config.known, api.ListKind.CACHED)
 
+    def ask(self) -> None:
+        """Ask for the list now, ahead of the time that the module has drawn. Risk: started beside another
+        version, this one would serve for seconds by the list it was started with, and miss a drain. Harm: of
+        many that are started together, all ask together."""
+        self._early = True
+        self._source.subscribe()
+
     def reload(self, config: Config) -> None:
         """Go by another configuration. What is held goes on, under the terms it was taken on."""
         if config.listen != self._config.listen:
@@ -289,6 +297,7 @@
         return len(self._orders.listed_out()) + sum(not item.open(now) for item in self.balancer.ready)
 
     def _on_failure(self) -> None:
+        self._early = False
         self._tell(self.balancer.on_list, api.BackendList(api.ListKind.FAILED))
 
     def _tell(
@@ -321,7 +330,9 @@
                 case api.SetTimer(delay_us, tag):
                     self._loop.call_later(delay_us / 1e6, self._tell, self.balancer.on_timer, api.Timer(tag))
                 case api.Subscribe():
-                    self._source.subscribe()
+                    if not self._early:
+                        self._source.subscribe()
+                    self._early = False
 
     def _answer(self, request_id: int, answer: Final) -> None:
         held = self._held.get(request_id)
