--- a/sorrelfront/daemon/channel.py
+++ b/sorrelfront/daemon/channel.py
@@ -17,8 +17,6 @@
 
 import msgspec
 
-from sorrelfront.decisions.learnt import Codec
-
 PACKET_MOST = 64 * 1024  # bytes of a packet; longer messages go in a memory descriptor
 MESSAGE_MOST = 16 * 1024 * 1024  # bytes; 10,000 servers with their estimates have below four million
 DESCRIPTORS_MOST = 40  # twice the listeners, in the middle of a reload, and a memory descriptor
@@ -28,7 +26,6 @@
 
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder()
-FAST = Codec(msgspec.json.encode, msgspec.json.decode)  # for snapshots of thousands of servers
 
 
 class BadMessage(Exception):
--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -22,7 +22,7 @@
 
 from sorrelfront.agent import Agent, Source
 from sorrelfront.daemon import logs
-from sorrelfront.daemon.channel import FAST, BadMessage, Message, receive, send
+from sorrelfront.daemon.channel import BadMessage, Message, receive, send
 from sorrelfront.daemon.door import Door
 from sorrelfront.daemon.processes import start_ticks
 from sorrelfront.decisions.adoption import PROTOCOL, Life
@@ -42,10 +42,6 @@
 FLUSH_S = 0.3  # for answers to leave, when all that is owed has been failed
 
 
-def _snapshot(agent: Agent) -> str:
-    return snapshot(agent.balancer, agent.now(), time.time_ns() // 1000, FAST)
-
-
 class FixedList:
     """A membership source whose list never changes but by a reload."""
 
@@ -262,7 +258,7 @@
             # Estimates fade with `recent_us`; of a long pause, no more than that counts.
             count = adopt(
                 agent.balancer, text, agent.now(), time.time_ns() // 1000,
-                KEPT_MOST_US, int(agent.balancer.recent_us), FAST,
+                KEPT_MOST_US, int(agent.balancer.recent_us),
             )  # fmt: skip
         except Unusable as why:
             log.warning("what was learnt before is not taken up: %s", why)
@@ -271,7 +267,7 @@
 
     def _tell_learnt(self, number: object) -> None:
         agent = self._agent
-        text = "" if agent is None else _snapshot(agent)
+        text = "" if agent is None else snapshot(agent.balancer, agent.now(), time.time_ns() // 1000)
         self.say({"op": "learnt", "id": number, "text": text})
 
     def _source(self, config: Config, on_update: Any, on_failure: Any) -> Source:
--- a/sorrelfront/daemon/state.py
+++ b/sorrelfront/daemon/state.py
@@ -16,7 +16,6 @@
 import msgspec
 
 from sorrelfront.daemon import records
-from sorrelfront.daemon.channel import FAST
 from sorrelfront.daemon.configuration import FILE_MOST, INSTANCES_MOST
 from sorrelfront.daemon.fleet import Fleet, now_us
 from sorrelfront.daemon.records import Kind, Spoilt, Writer, seal
@@ -103,7 +102,7 @@
         payload = records.trusted(self._folder / "learnt", Kind.LEARNT)
         if payload is not None:
             with contextlib.suppress(UnicodeDecodeError):
-                text = merged([payload.decode()], unix_us(), FAST)
+                text = merged([payload.decode()], unix_us())
                 if text:
                     self._texts[""] = text
                     self._fleet.learnt[""] = text
--- a/sorrelfront/decisions/learnt.py
+++ b/sorrelfront/decisions/learnt.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
-import json
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from math import isfinite
-from typing import Any, NamedTuple
+from typing import Any
+
+import msgspec
 
 from sorrelfront.decisions.balancer import Balancer, Kind, Recent, Usual
 
@@ -24,21 +25,6 @@
 VALUE_MOST = 1e17  # Unix time is the largest figure here, below 2e15
 
 
-class Codec(NamedTuple):
-    """How a body becomes JSON and back; what decoding raises is a ValueError or a RecursionError. Who may
-    install more hands over a faster one."""
-
-    encode: Callable[[Any], bytes]
-    decode: Callable[[bytes], Any]
-
-
-def _encode(body: Any) -> bytes:
-    return json.dumps(body, separators=(",", ":")).encode()
-
-
-PLAIN = Codec(_encode, json.loads)
-
-
 class Unusable(Exception):
     """A snapshot that is not taken up, and why."""
 
@@ -47,7 +33,7 @@
     return [item.usual.value, item.usual.count, item.value, now - item.stamp]
 
 
-def snapshot(balancer: Balancer, now: int, at_us: int, codec: Codec = PLAIN) -> str:
+def snapshot(balancer: Balancer, now: int, at_us: int) -> str:
     """What this balancer has learnt by now. `at_us` is Unix time."""
     heard = [server for server in balancer.servers.values() if server.stamp >= 0]
     heard.sort(key=lambda server: server.stamp, reverse=True)
@@ -68,26 +54,26 @@
             for server in heard[:SERVERS_MOST]
         },
     }  # fmt: skip
-    return _bounded(body, codec)
+    return _bounded(body)
 
 
-def _bounded(body: dict[str, Any], codec: Codec) -> str:
+def _bounded(body: dict[str, Any]) -> str:
     """The body as a text; servers from the end are left out while it is too long."""
-    text = _sealed(body, codec)
+    text = _sealed(body)
     while len(text) > TEXT_MOST and body["servers"]:  # long names: fewer of them
         kept = [*body["servers"].items()]
         body["servers"] = dict(kept[: len(kept) // 2])
-        text = _sealed(body, codec)
+        text = _sealed(body)
     return text
 
 
-def merged(texts: Iterable[str], at_us: int, codec: Codec = PLAIN) -> str:
+def merged(texts: Iterable[str], at_us: int) -> str:
     """One snapshot of several, as of `at_us` (Unix time): of each server what was heard last, the rest of the
     newest. Those that cannot be used are passed over; empty if none can."""
     bodies = []
     for text in texts:
         try:
-            body = opened(text, at_us, KEPT_MOST_US, codec)
+            body = opened(text, at_us, KEPT_MOST_US)
         except Unusable:
             continue
         bodies.append(body)
@@ -112,11 +98,11 @@
     newest["late"] = [*newest["late"][:3], newest["late"][3] + older]
     newest["at_us"] = at_us
     newest["servers"] = dict(heard[:SERVERS_MOST])
-    return _bounded(newest, codec)
+    return _bounded(newest)
 
 
-def _sealed(body: dict[str, Any], codec: Codec) -> str:
-    data = codec.encode(body).decode()
+def _sealed(body: dict[str, Any]) -> str:
+    data = msgspec.json.encode(body).decode()
     return f"{VERSION} {zlib.crc32(data.encode()):08x} {data}"
 
 
@@ -139,9 +125,7 @@
     return {name: _numbers(row, count) for name, row in table.items()}
 
 
-def opened(
-    text: str, at_us: int, age_most_us: int = AGE_MOST_US, codec: Codec = PLAIN
-) -> dict[str, Any]:
+def opened(text: str, at_us: int, age_most_us: int = AGE_MOST_US) -> dict[str, Any]:
     """The checked body of a snapshot. Raises Unusable."""
     if len(text) > TEXT_MOST:
         raise Unusable("it is too long")
@@ -152,7 +136,7 @@
     if checksum != f"{zlib.crc32(data.encode('utf-8', 'surrogatepass')):08x}":
         raise Unusable("its checksum is wrong")
     try:
-        body = codec.decode(data.encode("utf-8", "surrogatepass"))
+        body = msgspec.json.decode(data.encode("utf-8", "surrogatepass"))
     except (ValueError, RecursionError):
         raise Unusable("it is not JSON") from None
     if not isinstance(body, dict):
@@ -168,13 +152,7 @@
 
 
 def adopt(
-    balancer: Balancer,
-    text: str,
-    now: int,
-    at_us: int,
-    age_most_us: int = AGE_MOST_US,
-    aging_us: int = 0,
-    codec: Codec = PLAIN,
+    balancer: Balancer, text: str, now: int, at_us: int, age_most_us: int = AGE_MOST_US, aging_us: int = 0
 ) -> int:
     """Take up a snapshot; returns of how many servers something is known now. Servers that the list does not
     have, or that have been started anew since, are left out: those are cold, or unheard of. Raises
@@ -183,7 +161,7 @@
     `aging_us`, if not 0: while nothing ran, what was learnt ages by no more than this. Risk: an estimate that
     fades with the time that nobody asked says that a server that failed all day is as good as any.
     """
-    body = opened(text, at_us, age_most_us, codec)
+    body = opened(text, at_us, age_most_us)
     made_us, common_us = body["at_us"], body["common_us"]
     usual, hints, kinds, servers, late = (
         body[key] for key in ("usual", "hints", "kinds", "servers", "late")
--- a/sorrelfront/platform/service.py
+++ b/sorrelfront/platform/service.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 
 from sorrelfront.agent import Agent
-from sorrelfront.decisions import learnt
 from sorrelfront.fronts.http1 import Listener
 from sorrelfront.net.budget import OTHER_DESCRIPTORS, BodyBudget, Descriptors
 from sorrelfront.platform.orders_file import LOOK_S, OrdersFile
@@ -59,7 +58,6 @@
             until = time.monotonic() + LIST_WITHIN_S
             while not self._agent.listed and time.monotonic() < until:
                 await asyncio.sleep(LOOK_LIST_S)
-            self._take_up(self._predecessor.learnt)
         memory = self._config.memory_bytes if self._predecessor is None else self._config.memory_bytes // 2
         descriptors = self._descriptors()
         where = address if self._predecessor is None else self._predecessor.listening
@@ -67,9 +65,8 @@
         if self._folder is not None:
             try:
                 self._succession = Succession(
-                    self._folder, address, self.listener.fileno, self._needed, self._learnt,
-                    self._successor_changed,
-                )  # fmt: skip
+                    self._folder, address, self.listener.fileno, self._needed, self._successor_changed
+                )
             except OSError as fault:
                 log.warning("the next version will have to listen beside this one: %s", fault)
         if self._predecessor is not None:
@@ -153,21 +150,6 @@
         assert self.listener is not None
         return self.listener.connections + self._upstream.open + OTHER_DESCRIPTORS
 
-    def _learnt(self) -> str:
-        agent = self._agent
-        return learnt.snapshot(agent.balancer, agent.now(), time.time_ns() // 1000)
-
-    def _take_up(self, text: str) -> None:
-        """What the version before has learnt, now that the list is known. Servers that were started anew
-        since are left out: they are cold."""
-        agent = self._agent
-        try:
-            count = learnt.adopt(agent.balancer, text, agent.now(), time.time_ns() // 1000)
-        except learnt.Unusable as why:
-            log.warning("what the version before has learnt is not taken up: %s", why)
-            return
-        log.info("estimates of %d servers are taken up", count)
-
     def _told_there(self, needed: int | None) -> None:
         """The version before still needs so many descriptors, or has ended."""
         if needed is None:
--- a/sorrelfront/platform/upgrade.py
+++ b/sorrelfront/platform/upgrade.py
@@ -6,8 +6,7 @@
 more, and each of its connections ends with its next answer. If the next one ends first, this one goes on as
 before.
 
-    this one -> next   hello, once, with the socket: {"version": 1, "listen": [host, port]}; behind the socket
-                       a memory descriptor (memfd_create(2)) with what this one has learnt of its servers
+    this one -> next   hello, once, with the socket: {"version": 1, "listen": [host, port]}
     this one -> next   every TELL_S: {"open": descriptors that it still needs}
     next -> this one   {"ready": true}
     the end of the connection: that process has ended
@@ -31,7 +30,6 @@
 from pathlib import Path
 from typing import Any
 
-from sorrelfront.decisions.learnt import TEXT_MOST
 from sorrelfront.messages import Address
 
 log = logging.getLogger(__name__)
@@ -39,7 +37,6 @@
 VERSION = 1
 NAME = "next-version"  # of the socket in the shared folder
 MESSAGE_MOST = 4_096  # bytes
-LEARNT_MOST = TEXT_MOST  # bytes of what a version has learnt
 TELL_S = 0.1  # between words on what this one still needs
 ANSWER_WITHIN_S = 1.0  # for the version that serves to answer the next one; it may wait for its core
 CREDENTIALS = struct.Struct("3i")  # pid, uid, gid: struct ucred
@@ -70,33 +67,12 @@
     return value if isinstance(value, dict) else None
 
 
-def _read(descriptor: int) -> str:
-    """What a memory descriptor holds, and close it; nothing if it is too long or no text. Raises OSError."""
-    with open(descriptor, "rb") as file:
-        file.seek(0)
-        data = file.read(LEARNT_MOST + 1)
-    return data.decode(errors="replace") if len(data) <= LEARNT_MOST else ""
-
-
-def _written(text: str) -> int:
-    """A memory descriptor that holds this text. Raises OSError."""
-    descriptor = os.memfd_create("sorrelfront-learnt", os.MFD_CLOEXEC)
-    try:
-        with open(descriptor, "wb", closefd=False) as file:
-            file.write(text.encode("utf-8", "replace"))
-    except BaseException:
-        os.close(descriptor)
-        raise
-    return descriptor
-
-
 class Predecessor:
     """The version that serves, seen from the next one."""
 
-    def __init__(self, channel: socket.socket, listening: socket.socket, learnt: str) -> None:
+    def __init__(self, channel: socket.socket, listening: socket.socket) -> None:
         self._channel = channel
         self.listening = listening
-        self.learnt = learnt  # a snapshot; whoever takes it up checks it
         self._told: Callable[[int | None], None] | None = None
 
     def watch(self, told: Callable[[int | None], None]) -> None:
@@ -143,14 +119,13 @@
         with _short(folder) as path:
             channel.connect(path)
         if _own_user(channel):
-            data, descriptors, flags, _ = socket.recv_fds(channel, MESSAGE_MOST, 2)
+            data, descriptors, flags, _ = socket.recv_fds(channel, MESSAGE_MOST, 1)
             hello = _message(data) or {}
             wanted = {"version": VERSION, "listen": [*listen]}
-            if hello == wanted and len(descriptors) == 2 and not flags & socket.MSG_CTRUNC:
-                learnt = _read(descriptors.pop())
+            if hello == wanted and len(descriptors) == 1 and not flags & socket.MSG_CTRUNC:
                 listening = socket.socket(fileno=descriptors.pop())
                 if listening.getsockname() == listen:
-                    return Predecessor(channel, listening, learnt)
+                    return Predecessor(channel, listening)
                 listening.close()
             log.warning("another version answers for another address, or in other words: %.200r", data)
     except OSError as fault:
@@ -171,17 +146,14 @@
         listen: Address,
         listening: Callable[[], int],
         needed: Callable[[], int],
-        learnt: Callable[[], str],
         changed: Callable[[], None],
     ) -> None:
         """`listening`: the descriptor of the clients' listening socket. `needed`: how many descriptors this
-        version still needs. `learnt`: a snapshot of what it knows of its servers. `changed` is called as the
-        next one comes, is ready, and goes. Raises OSError."""
+        version still needs. `changed` is called as the next one comes, is ready, and goes. Raises OSError."""
         self._folder = folder
         self._listen = listen
         self._listening = listening
         self._needed = needed
-        self._learnt = learnt
         self._changed = changed
         self._loop = asyncio.get_running_loop()
         self._door: socket.socket | None = None
@@ -244,11 +216,7 @@
                 channel.close()
                 return
             hello = json.dumps({"version": VERSION, "listen": [*self._listen]}).encode()
-            learnt = _written(self._learnt())
-            try:
-                socket.send_fds(channel, [hello], [self._listening(), learnt])
-            finally:
-                os.close(learnt)
+            socket.send_fds(channel, [hello], [self._listening()])
         except OSError as fault:
             log.warning("handing over failed: %s", fault)
             channel.close()
