--- /dev/null
+++ b/tests/net/test_quick.py
@@ -0,0 +1,122 @@
+"""Exchanges in callbacks on a rested connection, at their edges."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from sorrelfront.decisions.interface import Outcome
+from sorrelfront.messages import Call, Ended
+from sorrelfront.net.http import Payload, Wire
+from sorrelfront.upstreams import http1
+from sorrelfront.upstreams.http1 import Upstream
+from tests.loopback import answer, until
+
+OK = answer(b"served")
+
+
+class Rested:
+    """An upstream with one connection at rest, and its server's end."""
+
+    def __init__(self) -> None:
+        self.listening = socket.create_server(("127.0.0.1", 0))
+        self.address = self.listening.getsockname()
+        self.upstream = Upstream(8, 30_000_000, 1_000_000)
+        self.told: list[Ended] = []
+
+    async def open(self) -> Rested:
+        wire = await self.upstream.connect(self.address)
+        self.server, _ = self.listening.accept()
+        self.upstream.rest(self.address, wire)
+        return self
+
+    def begin(self, repeatable: bool, fit: Callable[[], bool] = lambda: True) -> Any:
+        call = Call(b"r", "look", 1_000_000, Payload(b"GET", b"/look", [(b"host", b"a")]))
+        call.repeatable = repeatable
+        running = self.upstream.begin(call, self.address, 20_000_000, fit, self.told.append)
+        assert running is not None
+        return running
+
+    async def outcome(self) -> Outcome:
+        await until(lambda: bool(self.told))
+        (ended,) = self.told
+        self.upstream.close()
+        self.server.close()
+        self.listening.close()
+        return ended.outcome
+
+
+@pytest.fixture(autouse=True)
+def settled(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http1, "SETTLED_S", 0.0)
+
+
+def test_one_that_breaks_before_its_last_byte_goes_on_a_new_connection() -> None:
+    async def play() -> None:
+        made = await Rested().open()
+        made.begin(repeatable=False)
+        made.server.close()
+        made.listening.setblocking(False)
+        second, _ = await asyncio.get_running_loop().sock_accept(made.listening)
+        with second:
+            data = b""
+            while not data.endswith(b"\r\n\r\n"):
+                data += await asyncio.get_running_loop().sock_recv(second, 65_536)
+            second.send(OK)
+            assert await made.outcome() is Outcome.OK
+
+    asyncio.run(play())
+
+
+def test_an_answer_that_is_here_unread_as_the_time_is_up_counts() -> None:
+    async def play() -> None:
+        made = await Rested().open()
+        running = made.begin(repeatable=True)
+        made.server.send(OK)
+        time.sleep(0.05)  # the loop does not turn, so nobody reads it
+        running._time_up()
+        assert await made.outcome() is Outcome.OK
+
+    asyncio.run(play())
+
+
+def test_what_the_kernel_took_in_part_was_not_sent(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its server starts to drain before the rest can go: nothing has run, and that is known."""
+    monkeypatch.setattr(Wire, "send_now", lambda wire, data: wire.sock.send(data[:10]))
+
+    async def play() -> None:
+        made = await Rested().open()
+        fit = [True]
+        made.begin(repeatable=True, fit=lambda: fit[0])
+        fit[0] = False
+        assert await made.outcome() is Outcome.UNREACHABLE
+
+    asyncio.run(play())
+
+
+def test_nothing_goes_to_a_server_that_wants_nothing_new() -> None:
+    async def play() -> None:
+        made = await Rested().open()
+        made.begin(repeatable=True, fit=lambda: False)
+        assert made.server.recv(65_536) == b""
+        assert await made.outcome() is Outcome.UNREACHABLE
+
+    asyncio.run(play())
+
+
+def test_one_that_is_called_off_is_told_once_and_later() -> None:
+    async def play() -> None:
+        made = await Rested().open()
+        running = made.begin(repeatable=True)
+        running.cancel()
+        running.cancel()
+        assert made.told == []
+        assert await made.outcome() is Outcome.CANCELLED
+        assert made.upstream.open == 0
+
+    asyncio.run(play())
