Ephemeral nodes as a membership source: stand-in ensemble, session, trust and seats

A node goes when its session ends, which is not when its process does, and the service stalls and comes back; a fleet's size stood in a file.

Change: jute records with checked lengths (net/jute.py); a stand-in ensemble of several members with scripted trouble (lab/zookeeper, also a program); an asyncio session with re-connect, setWatches, digest auth, chroot and bounds (net/zookeeper.py); what a vanished node means, decided without I/O (decisions/membership.py); seats of instances that do not move when others come or go (decisions/places.py); the source that carries both out (sources/zookeeper.py) and the daemon's [membership] source = "zookeeper".

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -6,6 +6,7 @@
 import logging
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from functools import partial
 from typing import Protocol, TypeVar
 
@@ -177,6 +178,12 @@
         self._upstream.reload(config)
         self._source.reload(config)
 
+    def place(self, number: int, agents: int) -> None:
+        """Have the slice of the servers begin elsewhere: at `number` of `agents` parts of the list."""
+        settings = replace(self._config.settings, number=number, agents=agents)
+        self._config = replace(self._config, settings=settings)
+        self._tell(self.balancer.on_settings, settings)
+
     def close(self) -> None:
         self._source.close()
         for task in self._running.values():
--- a/sorrelfront/daemon/configuration.py
+++ b/sorrelfront/daemon/configuration.py
@@ -29,6 +29,7 @@
 SERVERS_MOST = 10_000  # in a fixed list
 INSTANCES_MOST = 256
 LISTENERS_MOST = 16
+HOSTS_MOST = 16
 # Bytes. A Unix socket's address holds 107, and the doors of the instances lie below it: .d/i255-4194304.sock
 CONTROL_PATH_MOST = 84
 
@@ -73,6 +74,21 @@
     return None if len(os.fsencode(value)) <= CONTROL_PATH_MOST else "is too long for a Unix socket"
 
 
+def _hosts(value: list[Any]) -> str | None:
+    for host in value:
+        if not isinstance(host, str) or _address(host) is not None:
+            return f"has {_shown(host)}, which is not an IPv4 address and a port"
+    return None
+
+
+def _node(value: str) -> str | None:
+    """Of a ZooKeeper-style service; empty for none."""
+    parts = value.split("/")[1:]
+    whole = value.startswith("/") and "\x00" not in value
+    good = whole and all(part not in ("", ".", "..") for part in parts)
+    return None if good or not value else "is not a path, as in /services/stock"
+
+
 class Table(msgspec.Struct, kw_only=True):
     """A table of the file: its keys, their types, ranges and defaults. `CHECKS` are for what a range cannot
     say, each telling what is wrong, or None."""
@@ -141,11 +157,32 @@
 
 
 class Membership(Table, kw_only=True):
-    CHECKS = {"address": lambda value: _address(value) if value else None}
+    CHECKS = {
+        "address": lambda value: _address(value) if value else None,
+        "hosts": _hosts,
+        "path": _node,
+        "chroot": _node,
+        "fleet": _node,
+    }
 
-    source: Literal["registry", "fixed"] = "registry"
+    source: Literal["registry", "fixed", "zookeeper"] = "registry"
     address: str = ""
     servers: Annotated[list[Any], Meta(max_length=SERVERS_MOST)] = []
+    # Of a ZooKeeper-style service.
+    hosts: Annotated[list[Any], Meta(max_length=HOSTS_MOST)] = []
+    path: Annotated[str, Meta(max_length=512)] = ""
+    chroot: Annotated[str, Meta(max_length=512)] = ""
+    fleet: Annotated[str, Meta(max_length=512)] = ""
+    auth_file: Annotated[str, Meta(max_length=1_024)] = ""
+    session_ms: Annotated[float, Meta(ge=200, le=600_000)] = 6_000.0
+    suspect_ms: Annotated[float, Meta(ge=100, le=3_600_000)] = 30_000.0
+    confirm_ms: Annotated[float, Meta(ge=10, le=600_000)] = 1_000.0
+    doubt_ms: Annotated[float, Meta(ge=100, le=3_600_000)] = 30_000.0
+    hole_ms: Annotated[float, Meta(ge=10, le=3_600_000)] = 10_000.0
+
+
+# Keys of [membership] that go with one source only, by what each means when it is not set.
+ZOOKEEPER_KEYS = ("hosts", "path", "chroot", "fleet", "auth_file")
 
 
 class Server(Table, kw_only=True):
@@ -371,6 +408,20 @@
 
 
 def _cross_membership(membership: dict[str, Any], checker: _Checker) -> None:
+    if membership["source"] != "zookeeper":
+        for key in ZOOKEEPER_KEYS:
+            if membership[key]:
+                checker.fault("membership", key, "goes with source = 'zookeeper' only")
+    if membership["source"] == "zookeeper":
+        for key in ("hosts", "path"):
+            if not membership[key]:
+                checker.fault("membership", key, "is missing: source = 'zookeeper' needs it")
+        for key in ("address", "servers"):
+            if membership[key]:
+                checker.fault("membership", key, "goes with other sources only")
+        if membership["fleet"] and membership["fleet"] == membership["path"]:
+            checker.fault("membership", "fleet", "is that of the servers")
+        return
     if membership["source"] == "registry":
         if not membership["address"]:
             checker.fault("membership", "address", "is missing: source = 'registry' needs it")
@@ -406,8 +457,9 @@
         "name": f"{daemon['name']}-i{number}",
         "listen": first["address"],
         # A fixed list is never watched; the agent's terms want an address all the same.
-        "discovery": "127.0.0.1:9" if fixed else membership["address"],
+        "discovery": membership["address"] or "127.0.0.1:9",
         "source": membership["source"],
+        "zookeeper": _zookeeper(document),
         "seed": f"{(daemon['seed'] * INSTANCES_MOST + number) & (2**64 - 1):x}",
         "limits": {"memory_mb": daemon["memory_mb"], "sockets": daemon["sockets"]},
         "known": known,
@@ -437,6 +489,18 @@
     }
 
 
+def _zookeeper(document: Document) -> dict[str, Any] | None:
+    membership = document.membership
+    if membership["source"] != "zookeeper":
+        return None
+    keys = (
+        "hosts", "path", "chroot", "fleet", "session_ms", "suspect_ms", "confirm_ms", "doubt_ms", "hole_ms",
+    )  # fmt: skip
+    auth_file = membership["auth_file"]
+    told = {key: membership[key] for key in keys}
+    return told | {"auth_file": str(document.path.parent.absolute() / auth_file) if auth_file else ""}
+
+
 def _member(server: dict[str, Any]) -> dict[str, Any]:
     return {
         "id": server["id"], "host_port": server["address"], "locality": server["zone"],
--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -21,18 +21,21 @@
 from typing import Any
 
 from sorrelfront.agent import Agent, Source
-from sorrelfront.daemon import logs
+from sorrelfront.daemon import ephemeral, logs
 from sorrelfront.daemon.channel import BadMessage, Message, receive, send
 from sorrelfront.daemon.door import Door
 from sorrelfront.daemon.processes import start_ticks
+from sorrelfront.decisions import places
 from sorrelfront.decisions.adoption import PROTOCOL, Life
 from sorrelfront.decisions.learnt import KEPT_MOST_US, Unusable, adopt, snapshot
+from sorrelfront.decisions.membership import Answering
 from sorrelfront.fronts.http1 import Listener
 from sorrelfront.messages import Address, Update
 from sorrelfront.net.budget import BodyBudget, Descriptors
 from sorrelfront.platform.config import BadConfig, parse
 from sorrelfront.signals import ignore_from_here, on_signal
 from sorrelfront.sources import registry
+from sorrelfront.sources.zookeeper import Ephemeral
 from sorrelfront.terms import Config
 from sorrelfront.upstreams.http1 import Upstream
 
@@ -83,6 +86,8 @@
         self._learnt: object = None  # a snapshot that waits for the list
         self._leaving: set[asyncio.Task[None]] = set()  # listeners that were moved away, while they end
         self._bodies: BodyBudget | None = None
+        self._ephemeral: Ephemeral | None = None  # the source, if it is one of ephemeral nodes
+        self._seat: int | None = None  # among the instances, if the service says
         self.going_away = asyncio.Event()
         self.at_once = False
         self.others = False
@@ -226,6 +231,7 @@
                 self._config, self._table = before
                 if self._config is not None:
                     self._agent.reload(self._config)
+                    self._sit(self._seat)
             for sock in sockets:
                 if fault is not None or not any(item.owns(sock) for item in self._listeners.values()):
                     sock.close()
@@ -279,14 +285,41 @@
 
         if self._table.get("source") == "fixed":
             return FixedList(config, update)
+        if self._table.get("source") == "zookeeper":
+            terms = ephemeral.terms(self._table["zookeeper"])
+            self._ephemeral = ephemeral.made(terms, config, self._answering, update, self._sit)
+            return self._ephemeral
         return registry.watch(config, update, on_failure)
 
     def _change(self, config: Config, table: Message) -> None:
         assert self._agent is not None
         if table.get("source") != self._table.get("source"):
             raise BadConfig("membership.source takes a restart")
+        if self._ephemeral is not None:
+            self._ephemeral.change(ephemeral.terms(table["zookeeper"]))
         self._agent.reload(config)
         self._table, self._config = table, config
+        self._sit(self._seat)
+
+    def _sit(self, seat: int | None) -> None:
+        """Take this place among the instances; None: the one that the file says."""
+        self._seat = seat
+        if self._agent is None or self._config is None:
+            return
+        settings = self._config.settings
+        if seat is None:
+            self._agent.place(settings.number, settings.agents)
+        else:
+            self._agent.place(places.point(seat), places.POINTS)
+
+    def _answering(self, server: str, since: int) -> Answering:
+        """What attempts show of a server since then."""
+        known = self._agent.balancer.servers.get(server) if self._agent is not None else None
+        if known is None:
+            return Answering.UNKNOWN
+        if known.shut.failures:
+            return Answering.NO
+        return Answering.YES if known.heard_at >= since else Answering.UNKNOWN
 
     def _listen(self, config: Config, sockets: list[socket.socket]) -> None:
         """Listen on these sockets too; those listened on already are told the new limits. What is not among
@@ -320,6 +353,8 @@
             "connections": sum(listener.connections for listener in self._listeners.values()),
             "servers": len(agent.balancer.servers), "ready_servers": len(agent.balancer.ready),
         }  # fmt: skip
+        if self._ephemeral is not None:
+            figures |= self._ephemeral.figures()
         self.say({"op": "beat", "figures": figures})
         asyncio.get_running_loop().call_later(BEAT_S, self._beat)
 
--- /dev/null
+++ b/sorrelfront/lab/zookeeper/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for a coordination service, with trouble on demand."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable
-from typing import Any
+import functools
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any, ParamSpec
 
 from sorrelfront.agent import Agent
 from sorrelfront.fronts.http1 import Listener
@@ -28,10 +29,12 @@
 from sorrelfront.upstreams.http1 import Upstream
 
 __all__ = [
-    "PATIENCE_S", "Backend", "Client", "Registry", "Script", "World", "answer", "connect", "member",
+    "PATIENCE_S", "Backend", "Client", "Registry", "Script", "World", "answer", "connect", "looped", "member",
     "request", "table", "until", "world",
 ]  # fmt: skip
 
+P = ParamSpec("P")
+
 
 class World:
     """An agent in this process, with what it stands between."""
@@ -64,6 +67,16 @@
             registry.stop()
 
 
+def looped(test: Callable[P, Coroutine[Any, Any, None]]) -> Callable[P, None]:
+    """A test that is a coroutine, run to its end in a loop of its own."""
+
+    @functools.wraps(test)
+    def run(*args: P.args, **more: P.kwargs) -> None:
+        asyncio.run(test(*args, **more))
+
+    return run
+
+
 async def until(condition: Callable[[], bool]) -> None:
     """Wait for a condition that nothing announces."""
     async with asyncio.timeout(PATIENCE_S):
