--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -381,9 +381,9 @@
     a future only while somebody waits."""
 
     __slots__ = (
-        "_abort", "_agent", "_answered", "_answered_last", "_asked", "_begun", "_blank", "_body_since",
-        "_deaf", "_linger", "_listener", "_moved", "_share", "_task", "_turns", "_until", "_upload",
-        "_writer", "wire", "__weakref__",
+        "__weakref__", "_abort", "_agent", "_answered", "_answered_last", "_asked", "_begun", "_blank",
+        "_body_since", "_deaf", "_linger", "_listener", "_moved", "_share", "_task", "_turns", "_until",
+        "_upload", "_writer", "wire",
     )  # fmt: skip
 
     def __init__(self, listener: Listener, wire: Wire) -> None:
