--- a/sorrelfront/cli/main.py
+++ b/sorrelfront/cli/main.py
@@ -177,13 +177,17 @@
 @click.option("--seconds", type=click.FloatRange(1.0, 3_600.0), default=20.0, show_default=True)
 @click.option("--instances", type=click.IntRange(1, 16), default=2, show_default=True)
 @click.option("--seed", type=click.IntRange(0, 2**31), default=1, show_default=True)
+@click.option(
+    "--membership", type=click.Choice(["registry", "zookeeper"]), default="registry", show_default=True,
+    help="Where the list of servers comes from; with zookeeper that service gets into trouble too.",
+)
 @JSON
-def demo(seconds: float, instances: int, seed: int, as_json: bool) -> None:
+def demo(seconds: float, instances: int, seed: int, membership: str, as_json: bool) -> None:
     """Play a daemon between stand-in servers in trouble; exit code 1 if a rule was broken."""
     from sorrelfront.lab import demo as played
 
     try:
-        figures = played.play(seconds, instances, seed, quiet=as_json)
+        figures = played.play(seconds, instances, seed, as_json, membership)
     except played.CannotRun as fault:
         raise click.ClickException(str(fault)) from None
     broken = played.broken(figures)
--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -246,8 +246,9 @@
         descriptors = Descriptors(config.sockets)
         upstream = Upstream(descriptors.backends, config.idle_us, config.settings.connect_timeout_us)
         self._bodies = BodyBudget(config.memory_bytes)
+        self._table = table  # says which source it is
         self._agent = Agent(config, upstream, self._source)
-        self._table, self._config = table, config
+        self._config = config
         self._agent.start()
         if config.known.backends:
             learnt, self._learnt = self._learnt, None
--- a/sorrelfront/decisions/membership.py
+++ b/sorrelfront/decisions/membership.py
@@ -137,6 +137,7 @@
     member: Member
     standing: Standing = Standing.LISTED
     since: int = 0  # of the standing
+    vanished_at: int = -1  # when its last node went
     told: State | None = None
     told_member: Member | None = None
     drained: bool = False  # it has been said that it drains; holds while it is the same process
@@ -285,7 +286,7 @@
             self._listed(known, now)
             return
         if known.standing is Standing.LISTED:
-            known.standing, known.since = Standing.SETTLING, now
+            known.standing, known.since, known.vanished_at = Standing.SETTLING, now, now
         if changed or known.drained:
             known.drained = True
             self._leave(known, now)
@@ -318,13 +319,17 @@
 
     def _judge(self, due: list[Known], now: int) -> list[Action]:
         """Whether what has gone is believed."""
+        # Those that are back already count too. Risk: of a crowd that registers again one by one, the last
+        # would seem to have gone alone.
+        crowded = [
+            item for item in self._known.values()
+            if not item.drained and (item.standing in (Standing.SETTLING, Standing.SUSPECT)
+                                     or 0 <= now - item.vanished_at < TOGETHER_US)
+        ]  # fmt: skip
+        together = len(crowded)
+        back = sum(item.standing is Standing.LISTED for item in crowded)
         listed = sum(item.standing is Standing.LISTED for item in self._known.values())
-        together = sum(
-            item.standing in (Standing.SETTLING, Standing.SUSPECT)
-            or (item.standing is Standing.LEFT and item.since > now - TOGETHER_US and not item.drained)
-            for item in self._known.values()
-        )
-        whole = listed + together
+        whole = listed + together - back
         crowd = together > max(FEW, CROWD_SHARE * whole)
         most = crowd and together > MOST_SHARE * whole
         everyone = not listed and together > 1  # one alone is told, if it is the last one too
--- a/sorrelfront/lab/demo.py
+++ b/sorrelfront/lab/demo.py
@@ -26,7 +26,7 @@
 
 from sorrelfront.daemon import control
 from sorrelfront.lab.crowd import CLASSES, LOST, Crowd
-from sorrelfront.lab.http1 import Registry, member
+from sorrelfront.lab.listing import EphemeralListing, Listing, RegistryListing
 from sorrelfront.lab.shop import Book, Mode, Server
 
 CLIENTS = 24
@@ -60,7 +60,7 @@
 [limits]
 held = {held}
 [membership]
-address = "{registry}"
+{membership}
 """
 
 
@@ -80,8 +80,15 @@
 class Demo:
     """The stand-ins, the daemon and the load."""
 
-    def __init__(self, folder: Path, seconds: float, instances: int, seed: int) -> None:
+    def __init__(
+        self, folder: Path, seconds: float, instances: int, seed: int, membership: str = "registry"
+    ) -> None:
         self.folder = folder
+        self.listing: Listing = RegistryListing()
+        self.steps: tuple[Step, ...] = STEPS
+        if membership == "zookeeper":
+            self.listing = EphemeralListing()
+            self.steps = tuple(sorted((*STEPS, *EPHEMERAL_STEPS), key=lambda step: step.at))
         self.seconds = seconds
         self.instances = instances
         self.seed = seed
@@ -95,10 +102,10 @@
 
     async def run(self, show: Callable[[Demo], None]) -> dict[str, Any]:
         """Play it and return the figures. Raises CannotRun."""
-        self.registry = await Registry().start()
+        await self.listing.start()
         for number in range(SERVERS):
-            await self.add(f"b{number}")
-        self.registry.known = [member(name, server.address) for name, server in self.servers.items()]
+            server = await self.add(f"b{number}")
+            await self.listing.add(server.name, server.address)
         self.port = _free_port()
         self.write(1_000)
         with self.log.open("wb") as log:
@@ -120,7 +127,7 @@
             if process.returncode is None:
                 process.kill()
                 await process.wait()
-            self.registry.stop()
+            await self.listing.stop()
             for server in self.servers.values():
                 server.stop()
         return self.figures(code)
@@ -137,7 +144,7 @@
 
     async def _play(self, show: Callable[[Demo], None]) -> None:
         began = time.monotonic()
-        steps = list(STEPS)
+        steps = list(self.steps)
         while (now := time.monotonic() - began) < self.seconds:
             while steps and now >= steps[0].at * self.seconds:
                 step = steps.pop(0)
@@ -155,7 +162,7 @@
     def write(self, held: int) -> None:
         text = FILE.format(
             instances=self.instances, seed=self.seed, port=self.port, held=held,
-            registry=self.registry.address,
+            membership=self.listing.toml(),
         )  # fmt: skip
         fresh = self.path.with_suffix(".new")
         fresh.write_text(text)
@@ -169,15 +176,30 @@
     def mode(self, name: str, mode: Mode) -> None:
         self.servers[name].mode = mode
 
-    def drain(self, name: str) -> None:
-        self.registry.change(member(name, self.servers[name].address, "draining"))
+    async def drain(self, name: str) -> None:
+        await self.listing.drain(name)
         self.servers[name].drain()
 
     async def newcomer(self, name: str) -> None:
         server = await self.add(name)
         server.begin()
-        started = {"up_since_ms": int(time.time() * 1000)}
-        self.registry.change({**member(name, server.address), **started})
+        await self.listing.add(name, server.address, cold=True)
+
+    def expire_all(self) -> None:
+        """All servers' sessions expire, and all register again."""
+        assert isinstance(self.listing, EphemeralListing)
+        self.listing.crowd()
+
+    async def stall(self, seconds: float) -> None:
+        """The service answers nobody for a while."""
+        assert isinstance(self.listing, EphemeralListing)
+        self.listing.ensemble.stall()
+        await asyncio.sleep(seconds)
+        self.listing.ensemble.go_on()
+
+    def vanish(self, at: int) -> None:
+        assert isinstance(self.listing, EphemeralListing)
+        self.listing.ensemble.members[at].vanish()
 
     async def reload(self) -> None:
         self.write(900)
@@ -237,6 +259,13 @@
 )
 
 
+EPHEMERAL_STEPS = (
+    Step(0.10, "the service stalls for 2 s", lambda demo: demo.stall(2.0)),
+    Step(0.45, "a member of the service vanishes", lambda demo: demo.vanish(0)),
+    Step(0.55, "the sessions of all servers expire", lambda demo: demo.expire_all()),
+)
+
+
 def broken(figures: dict[str, Any]) -> list[str]:
     """The rules that were broken, by their figures."""
     return [name for name in ("lost", "doubled", "late_drains", "cold_overruns") if figures[name]]
@@ -259,12 +288,14 @@
     return Group(classes, servers, "\n".join(demo.happened))
 
 
-def play(seconds: float, instances: int, seed: int, quiet: bool) -> dict[str, Any]:
+def play(
+    seconds: float, instances: int, seed: int, quiet: bool, membership: str = "registry"
+) -> dict[str, Any]:
     """Run the demo; unless `quiet`, with a live table. Raises CannotRun."""
 
     async def run() -> dict[str, Any]:
         with tempfile.TemporaryDirectory(prefix="sorrelfront-") as folder:
-            demo = Demo(Path(folder), seconds, instances, seed)
+            demo = Demo(Path(folder), seconds, instances, seed, membership)
             if quiet:
                 return await demo.run(lambda _: None)
             with Live(console=Console(), refresh_per_second=5) as live:
--- a/sorrelfront/lab/zookeeper/ensemble.py
+++ b/sorrelfront/lab/zookeeper/ensemble.py
@@ -64,14 +64,16 @@
 class Member:
     """One server. Its trouble:
 
-    `stalled`: it reads and answers nothing while set. `delay_s`: before each answer. `watch_delay_s`: before
-    each watch event. `quorum`: "kept", "lost" (new connections are dropped, old ones too) or "read-only".
+    `stalled`: it reads and answers nothing while set. `delay_s`: before each request is looked at.
+    `answer_delay_s`: between doing it and answering, so that watches overtake. `watch_delay_s`: before each
+    watch event. `quorum`: "kept", "lost" (new connections are dropped, old ones too) or "read-only".
     `freeze()`: it serves what it holds now until `thaw()`.
     """
 
     def __init__(self, ensemble: Ensemble) -> None:
         self.ensemble = ensemble
         self.delay_s = 0.0
+        self.answer_delay_s = 0.0
         self.watch_delay_s = 0.0
         self.quorum = "kept"
         self.asked: Counter[str] = Counter()  # requests by operation, since the start
@@ -301,6 +303,8 @@
                 body = self._do(op, said, peer)
             except Refused as refused:
                 err = refused.err
+        if self.answer_delay_s:
+            await asyncio.sleep(self.answer_delay_s)
         head = Writer().int32(xid).int64(self.tree.zxid).int32(err)
         peer.writer.write(head.raw(body.record() if err is Err.OK else b"").frame())
         if op is Op.CLOSE or err is Err.AUTH_FAILED:
@@ -566,3 +570,7 @@
             member.vanish()
             for timer in member._late:
                 timer.cancel()
+        for _ in range(100):  # until each connection's task has seen its end
+            if not any(member._streams for member in self.members):
+                return
+            await asyncio.sleep(0.001)
--- a/sorrelfront/net/jute.py
+++ b/sorrelfront/net/jute.py
@@ -261,7 +261,7 @@
     if path == "/":
         return path
     parts = path.split("/")
-    if parts[0] != "" or any(part in ("", ".", "..") for part in parts[1:]) or "\x00" in path:
+    if parts[0] != "" or not path or any(part in ("", ".", "..") for part in parts[1:]) or "\x00" in path:
         raise Malformed(f"not a path: {path[:80]!r}")
     return path
 
--- a/sorrelfront/sources/zookeeper.py
+++ b/sorrelfront/sources/zookeeper.py
@@ -146,6 +146,9 @@
         self._timers.clear()
 
     def _begin(self) -> None:
+        self._dirty.clear()
+        self._names.clear()
+        self._children_dirty = True
         self._session = net.Session(self._terms.session, self._seed, self._on_life, self._on_event)
         if self._terms.fleet and self._sit is not None:
             last = self.seats.places.seat if self.seats is not None else self._last_seat
--- /dev/null
+++ b/tests/daemon/test_ephemeral.py
@@ -0,0 +1,130 @@
+"""A daemon whose list of servers, and whose instances' seats, are ephemeral nodes."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from sorrelfront.daemon import ephemeral
+from sorrelfront.daemon.configuration import BadDocument, instance_table, parse
+from sorrelfront.lab import demo
+from sorrelfront.lab.http1 import PATIENCE_S, Backend
+from sorrelfront.lab.listing import EphemeralListing
+from sorrelfront.lab.shop import Book, Server
+from sorrelfront.platform.config import BadConfig
+from tests.daemon.fleet import OK, Fleet
+from tests.loopback import looped
+
+
+def test_a_demo_in_which_the_service_stalls_loses_a_member_and_expires_everybody() -> None:
+    figures = demo.play(8.0, 2, 1, True, "zookeeper")
+    assert demo.broken(figures) == [] and figures["daemon_exit"] == 0, figures
+    assert figures["served"] > 0.95 * figures["offered"] > 0, figures
+
+
+@looped
+async def test_status_tells_of_the_service_the_seats_and_the_list(tmp_path: Path) -> None:
+    listing = EphemeralListing(members=1)
+    await listing.start()
+    server = await Server("b0", Book(4.0)).start()
+    await listing.add("b0", server.address)
+    made = Fleet(tmp_path, "", instances=2)
+    text = made.path.read_text().partition("[membership]")[0]
+    made.path.write_text(f"{text}[membership]\n{listing.toml()}\n")
+    await made.start()
+    try:
+        await made.ready()
+        async with asyncio.timeout(PATIENCE_S):
+            while {item.get("seat") for item in (await made.status()).values()} != {0, 1}:
+                await asyncio.sleep(0.02)
+        shown = [*(await made.status()).values()]
+        assert all(item["service"] == "connected" and item["suspects"] == 0 for item in shown)
+        async with asyncio.timeout(PATIENCE_S):
+            while any(item["seats"] != 2 for item in (await made.status()).values()):
+                await asyncio.sleep(0.02)
+        assert (await made.ask("stop"))["ok"] and await made.ended() == 0
+        assert "Traceback" not in made.log.read_text()
+    finally:
+        if made.process.returncode is None:
+            made.process.kill()
+            await made.process.wait()
+        server.stop()
+        await listing.stop()
+
+
+
+
+@looped
+async def test_a_fixed_list_that_has_another_server_after_a_reload(tmp_path: Path) -> None:
+    one, two = await Backend(OK).start(), await Backend(OK).start()
+    made = Fleet(tmp_path, "", instances=1)
+    made.servers = [("b0", one.address)]
+    made.write()
+    await made.start()
+    try:
+        await made.ready()
+        made.servers.append(("b1", two.address))
+        made.write()
+        assert (await made.ask("reload"))["ok"]
+        async with asyncio.timeout(PATIENCE_S):
+            while (await made.status())["i0"].get("ready_servers") != 2:
+                await asyncio.sleep(0.02)
+        assert (await made.ask("stop"))["ok"] and await made.ended() == 0
+    finally:
+        if made.process.returncode is None:
+            made.process.kill()
+            await made.process.wait()
+        one.stop()
+        two.stop()
+
+
+FILE = """
+[daemon]
+control = "c.sock"
+[listeners.http]
+address = "127.0.0.1:8080"
+[classes.look]
+repeat = "safe"
+aim_ms = 300
+deadline_ms = 2000
+[membership]
+"""
+
+
+def faults(membership: str) -> set[str]:
+    try:
+        parse((FILE + membership).encode(), Path("f.toml"))
+    except BadDocument as bad:
+        return {item.key for item in bad.faults}
+    return set()
+
+
+GOOD = 'source = "zookeeper"\nhosts = ["127.0.0.1:2181"]\npath = "/services/stock"\n'
+
+
+def test_the_file_says_what_is_wrong_with_its_service() -> None:
+    assert faults(GOOD) == set()
+    assert faults('source = "zookeeper"') == {"hosts", "path"}
+    assert faults(GOOD + 'address = "127.0.0.1:1"') == {"address"}
+    assert faults(GOOD + 'fleet = "/services/stock"') == {"fleet"}
+    assert faults(GOOD + 'chroot = "/a/../b"') == {"chroot"}
+    assert faults(GOOD.replace("127.0.0.1:2181", "zk.example.org:2181")) == {"hosts"}
+    assert faults('address = "127.0.0.1:1"\npath = "/a"') == {"path"}
+    assert faults(GOOD + "session_ms = 1") == {"session_ms"}
+
+
+def test_the_secret_stands_in_a_file_of_its_own(tmp_path: Path) -> None:
+    document = parse((FILE + GOOD + 'auth_file = "zk.secret"').encode(), tmp_path / "f.toml")
+    table = instance_table(document, 0)["zookeeper"]
+    with pytest.raises(BadConfig):
+        ephemeral.terms(table)
+    for bad in ("", "nobody", ":x", "a:", "a:b\nc", "a:" + "x" * 600):
+        (tmp_path / "zk.secret").write_text(bad)
+        with pytest.raises(BadConfig):
+            ephemeral.terms(table)
+    (tmp_path / "zk.secret").write_text("me:word\n")
+    terms = ephemeral.terms(table)
+    assert terms.session.auth == "me:word" and "word" not in str(table)
+    assert terms.session.hosts == (("127.0.0.1", 2181),) and terms.path == "/services/stock"
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -198,6 +198,18 @@
     assert world.ready() == names(10)
 
 
+def test_the_last_of_a_crowd_to_come_back_has_not_gone_alone() -> None:
+    world = World().begin(8)
+    world.service(Service.SILENT, Service.WELL)
+    nodes, world.nodes = world.nodes, {}
+    world.read()
+    world.run(50 * MS)
+    world.nodes = {node: member for node, member in nodes.items() if node != "n0"}
+    world.read()
+    world.run(2 * S)
+    assert world.ready() == names(8)
+
+
 def test_a_crowd_without_doubt_that_is_not_most_is_believed() -> None:
     world = World().begin(10)
     world.vanish(*names(4))
--- /dev/null
+++ b/tests/net/test_jute.py
@@ -0,0 +1,83 @@
+"""Records are read as they were written, and nothing that is no record does harm."""
+
+from __future__ import annotations
+
+import struct
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sorrelfront.net.jute import (
+    FRAME_MOST,
+    VECTOR_MOST,
+    Acl,
+    Malformed,
+    Reader,
+    Stat,
+    Writer,
+    checked_path,
+    frame_length,
+    parent,
+)
+
+LONGS = st.integers(-(2**63), 2**63 - 1)
+INTS = st.integers(-(2**31), 2**31 - 1)
+STATS = st.builds(Stat, LONGS, LONGS, LONGS, LONGS, INTS, INTS, INTS, LONGS, INTS, INTS, LONGS)
+ACLS = st.lists(st.builds(Acl, INTS, st.text(max_size=9), st.text(max_size=9)), max_size=5).map(tuple)
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(INTS, LONGS, st.booleans(), st.binary(max_size=99), st.text(max_size=30),
+       st.lists(st.text(max_size=9), max_size=9), ACLS, STATS)  # fmt: skip
+def test_what_is_written_is_read(
+    number: int, long: int, flag: bool, data: bytes, text: str, texts: list[str], acls: tuple[Acl, ...],
+    stat: Stat,
+) -> None:  # fmt: skip
+    writer = Writer().int32(number).int64(long).flag(flag).buffer(data).buffer(None).text(text)
+    frame = writer.texts(texts).acls(acls).stat(stat).frame()
+    assert frame_length(frame[:4]) == len(frame) - 4
+    said = Reader(frame[4:])
+    assert (said.int32(), said.int64(), said.flag(), said.buffer(), said.buffer()) == (
+        number, long, flag, data, None,
+    )  # fmt: skip
+    assert (said.text(), said.texts(), said.acls(), said.stat()) == (text, texts, acls, stat)
+    said.end()
+
+
+READS = ("int32", "int64", "flag", "buffer", "text", "texts", "acls", "stat", "rest", "end")
+
+
+@settings(derandomize=True, deadline=None, max_examples=500)
+@given(st.binary(max_size=200), st.lists(st.sampled_from(READS), min_size=1, max_size=8))
+def test_any_bytes_are_read_or_are_malformed(data: bytes, reads: list[str]) -> None:
+    said = Reader(data)
+    for read in reads:
+        before = said.left
+        try:
+            getattr(said, read)()
+        except Malformed:
+            return
+        assert 0 <= said.left <= before
+
+
+@pytest.mark.parametrize("count", [VECTOR_MOST + 1, 2**31 - 1, -2, 3])
+def test_a_vector_that_cannot_be_there_is_refused_before_it_is_walked(count: int) -> None:
+    with pytest.raises(Malformed):
+        Reader(struct.pack(">i", count) + bytes(8)).texts()
+    with pytest.raises(Malformed):
+        Reader(struct.pack(">i", count) + bytes(20)).acls()
+
+
+@pytest.mark.parametrize("length", [-1, FRAME_MOST + 1, 2**31 - 1, -(2**31)])
+def test_a_frame_that_is_too_long_is_refused_by_its_length(length: int) -> None:
+    with pytest.raises(Malformed):
+        frame_length(struct.pack(">i", length))
+
+
+def test_paths() -> None:
+    assert checked_path("/") == "/" and checked_path("/a/b") == "/a/b"
+    assert parent("/a/b") == "/a" and parent("/a") == "/"
+    for bad in ("", "a", "/a/", "//a", "/a/../b", "/./a", "/a\x00"):
+        with pytest.raises(Malformed):
+            checked_path(bad)
