--- a/tests/decisions/test_places.py
+++ b/tests/decisions/test_places.py
@@ -133,6 +133,16 @@
     assert not hall.sits and hall.nodes[5] is flapping and flapping.seat == 5
 
 
+def test_one_that_comes_back_asks_for_its_own_seat_though_a_lower_one_is_free() -> None:
+    hall = Hall(20)
+    lower, own = hall.nodes[5], hall.nodes[7]
+    hall.leave(lower)
+    hall.leave(own)
+    hall.sits.clear()
+    hall.join(own)
+    assert hall.nodes[7] is own and not hall.sits
+
+
 def test_a_seat_is_gone_by_until_better_is_known_and_no_longer_than_stated() -> None:
     hall = Hall(3)
     one = hall.nodes[1]
--- a/tests/sources/test_zookeeper.py
+++ b/tests/sources/test_zookeeper.py
@@ -207,20 +207,20 @@
     play(what)
 
 
-def test_a_watch_that_fires_before_the_answer_it_belongs_to() -> None:
+def test_a_watch_that_fires_before_the_answer_it_belongs_to(monkeypatch: pytest.MonkeyPatch) -> None:
     """Answers are late, watches are not: what changes between the read and its answer is read again."""
+    monkeypatch.setattr(source, "REFRESH_S", 1e6)  # nor is it found by the read that needs no reason
 
     async def what(made: Scene) -> None:
         everyone = await made.servers(3)
-        made.ensemble.members[0].answer_delay_s = 0.05
+        member, tree = made.ensemble.members[0], made.ensemble.tree
+        member.answer_delay_s = 0.2
+        asked = member.asked["GET_CHILDREN2"]
         ear = made.ear()
-        await until(lambda: ear.source.reads >= 1)
-        for at in range(3, 9):
-            await made.registrar.register(f"b{at}", f"127.0.0.1:{9_000 + at}")
-            everyone.add(f"b{at}")
-        drained = asyncio.gather(*(made.registrar.drain(f"b{at}") for at in (4, 7)))
-        await drained
-        await until(lambda: ear.ready == everyone - {"b4", "b7"})
+        await until(lambda: member.asked["GET_CHILDREN2"] > asked)  # read, and not answered yet
+        late = json.dumps({"id": "late", "address": "127.0.0.1:8999"}).encode()
+        tree.create(f"{PATH}/late", late, tree.nodes["/"].acls, 0, 0, set(), 0)
+        await until(lambda: ear.ready == everyone | {"late"})
 
     play(what)
 
@@ -247,7 +247,7 @@
 ) -> None:
     async def what(made: Scene) -> None:
         everyone = await made.servers(8)
-        ear = made.ear()
+        ear = made.ear(suspect_s=1_000.0)  # told as a suspect, it would stay
         await until(lambda: ear.ready == everyone)
         # It says so and is gone in the same moment as everybody else.
         made.registrar.servers["b6"].again = False
@@ -439,9 +439,8 @@
         await until(lambda: first.sits == [0])
         member = made.ensemble.members[0]
         nodes = made.ensemble.tree.nodes
+        member.answer_delay_s = 0.15
         ear = made.ear(fleet="/fleet")
-        await until(lambda: ear.source.figures()["service"] == "connected")
-        member.answer_delay_s = 0.1
         await until(lambda: "/fleet/seat-0001" in nodes)
         member.drop()
         member.answer_delay_s = 0.0
@@ -457,3 +456,16 @@
         assert owned() == [f"/fleet/seat-{ear.source.seats.places.held:04d}"]
 
     play(what)
+
+
+def test_a_path_that_is_not_there_is_no_empty_list() -> None:
+    async def what(made: Scene) -> None:
+        made.ensemble.tree.delete(PATH, -1, set())
+        ear = made.ear()
+        await until(lambda: ear.source.reads >= 2)
+        assert not ear.history and ear.source.figures()["list_age_ms"] is None
+        await made.registrar.make_path()
+        everyone = await made.servers(2)
+        await until(lambda: ear.ready == everyone)
+
+    play(what)
