--- a/tests/daemon/test_fleet.py
+++ b/tests/daemon/test_fleet.py
@@ -445,7 +445,8 @@
     extras = (
         "sorrelfront.daemon", "sorrelfront.cli", "sorrelfront.lab", "click", "rich", "msgspec",
         "pythonjsonlogger", "sorrelfront.decisions.supervision", "sorrelfront.decisions.adoption",
-        "sorrelfront.decisions.learnt",
+        "sorrelfront.decisions.learnt", "sorrelfront.decisions.membership", "sorrelfront.decisions.places",
+        "sorrelfront.sources.zookeeper", "sorrelfront.net.zookeeper", "sorrelfront.net.jute",
     )  # fmt: skip
     assert not [name for name in loaded if name.startswith(extras)]
 
