--- a/sorrelfront/cli/main.py
+++ b/sorrelfront/cli/main.py
@@ -1,4 +1,4 @@
-"""`sorrelfront serve | check | ctl | demo`. Exit codes: 0 done, 1 not done or faulty, 2 wrong usage."""
+"""`sorrelfront serve | check | ctl | demo | storm`. Exit codes: 0 done, 1 not done or faulty, 2 wrong use."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from sorrelfront.cli.storm import storm
 from sorrelfront.daemon import control
 from sorrelfront.daemon.configuration import BadDocument, Document, read
 
@@ -29,6 +30,9 @@
     """A client-side load balancer, run as a fleet of instances."""
 
 
+main.add_command(storm)
+
+
 @main.command()
 @FILE
 @click.option("--replace", is_flag=True, help="Take over from the daemon that runs by FILE, without a gap.")
--- a/sorrelfront/daemon/configuration.py
+++ b/sorrelfront/daemon/configuration.py
@@ -242,7 +242,7 @@
         return max(_us(table["deadline_ms"]) for table in self.classes.values())
 
 
-class _Checker:
+class Checker:
     """Collects faults and goes on."""
 
     def __init__(self) -> None:
@@ -364,7 +364,7 @@
 
 def check(top: dict[str, Any], path: Path) -> Document:
     """Check what a file says. Raises BadDocument."""
-    checker = _Checker()
+    checker = Checker()
     for key in top:
         if key not in TOP:
             checker.unknown("", key, TOP)
@@ -384,7 +384,7 @@
     return document
 
 
-def _cross(document: Document, checker: _Checker) -> None:
+def _cross(document: Document, checker: Checker) -> None:
     """What one key says of another."""
     if len(document.listeners) > LISTENERS_MOST:
         checker.fault("listeners", "", f"has more than {LISTENERS_MOST} tables")
@@ -407,7 +407,7 @@
     _cross_membership(document.membership, checker)
 
 
-def _cross_membership(membership: dict[str, Any], checker: _Checker) -> None:
+def _cross_membership(membership: dict[str, Any], checker: Checker) -> None:
     if membership["source"] != "zookeeper":
         for key in ZOOKEEPER_KEYS:
             if membership[key]:
--- a/sorrelfront/daemon/fleet.py
+++ b/sorrelfront/daemon/fleet.py
@@ -33,6 +33,7 @@
 
 log = logging.getLogger("sorrelfront.daemon")
 
+INSTANCE = [sys.executable, "-m", "sorrelfront.daemon.instance"]  # the command, before its arguments
 STOP_MORE_S = 1.0  # past the longest deadline and the listener's own time: a busy core, and the last steps
 
 
@@ -225,7 +226,7 @@
         try:
             child = subprocess.Popen(
                 [
-                    sys.executable, "-m", "sorrelfront.daemon.instance",
+                    *INSTANCE,
                     str(theirs.fileno()), name, str(number), str(self.folder),
                     self.document.log["format"], self.document.log["level"],
                 ],
--- a/sorrelfront/daemon/records.py
+++ b/sorrelfront/daemon/records.py
@@ -38,6 +38,42 @@
     """Not a record that can be trusted, and why."""
 
 
+class Disk:
+    """Every change that records make to files. Each step raises OSError."""
+
+    def create(self, path: Path) -> int:
+        """A new file, for this user alone; its descriptor, which `close` gives back."""
+        return os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_NOFOLLOW | os.O_CLOEXEC, 0o600)
+
+    def append(self, descriptor: int, data: bytes) -> None:
+        view = memoryview(data)
+        while view:  # a disk that fills up takes a part first (write(2))
+            view = view[os.write(descriptor, view) :]
+
+    def sync(self, descriptor: int) -> None:
+        os.fsync(descriptor)
+
+    def close(self, descriptor: int) -> None:
+        os.close(descriptor)
+
+    def replace(self, old: Path, new: Path) -> None:
+        os.replace(old, new)
+
+    def remove(self, path: Path) -> None:
+        path.unlink(missing_ok=True)
+
+    def sync_folder(self, path: Path) -> None:
+        """Names that were made, changed or removed in it are durable from here on (fsync(2))."""
+        folder = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+
+disk = Disk()  # the one of this process
+
+
 def _digest(version: int, kind: int, payload: bytes) -> bytes:
     head = struct.pack(">HH", version, kind)
     return hashlib.blake2b(head + payload, digest_size=16, person=b"sorrelfront").digest()
@@ -98,7 +134,7 @@
     except (Spoilt, OSError) as why:
         aside = path.with_name(path.name + ".bad")  # one is kept: the latest
         try:
-            os.replace(path, aside)
+            disk.replace(path, aside)
             done = f"set aside as {aside.name}"
         except OSError as fault:
             done = f"left where it is ({fault.strerror})"
@@ -109,23 +145,20 @@
 def write(path: Path, data: bytes) -> None:
     """Put these bytes in place, all or none, so that a power cut does not tear them. Raises OSError."""
     fresh = path.with_name(f".{path.name}.new")
-    fresh.unlink(missing_ok=True)  # left behind by one that was killed, or laid there as a link
-    descriptor = os.open(fresh, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_NOFOLLOW | os.O_CLOEXEC, 0o600)
+    disk.remove(fresh)  # left behind by one that was killed, or laid there as a link
+    descriptor = disk.create(fresh)
     try:
-        with open(descriptor, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(descriptor)
-        os.replace(fresh, path)
+        try:
+            disk.append(descriptor, data)
+            disk.sync(descriptor)
+        finally:
+            disk.close(descriptor)
+        disk.replace(fresh, path)
     except OSError:
         with contextlib.suppress(OSError):
-            fresh.unlink(missing_ok=True)
+            disk.remove(fresh)
         raise
-    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
+    disk.sync_folder(path.parent)
 
 
 class Writer:
@@ -186,7 +219,7 @@
     def _one(self, path: Path, data: bytes | None) -> None:
         try:
             if data is None:
-                path.unlink(missing_ok=True)
+                disk.remove(path)
             else:
                 self._put(path, data)
         except OSError as fault:
--- a/sorrelfront/lab/crowd.py
+++ b/sorrelfront/lab/crowd.py
@@ -96,6 +96,12 @@
         self._name = name
         self._tasks = [asyncio.create_task(self._ask(number)) for number in range(clients)]
 
+    def asks(self, name: str, cls: str) -> None:
+        """Called as a request is sent, for whoever keeps a book of its own."""
+
+    def heard(self, name: str, cls: str, got: bytes, seconds: float) -> None:
+        """Called with each request's status line, or RESET or LOST, and how long it took."""
+
     async def _ask(self, number: int) -> None:
         peer: Peer | None = None
         asked = 0
@@ -140,7 +146,9 @@
         except ConnectionError:
             self.book[b"unsent"] += 1
             return False
+        self.asks(name, cls)
         got = await peer.answer()
+        self.heard(name, cls, got, time.monotonic() - began)
         self.book[got] += 1
         self.by_class[cls, got[:12]] += 1
         if got == LOST:
--- a/sorrelfront/lab/http1.py
+++ b/sorrelfront/lab/http1.py
@@ -125,8 +125,8 @@
         self.revision = 1
         self._open: set[asyncio.StreamWriter] = set()
 
-    async def start(self) -> Registry:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, host: str = "127.0.0.1") -> Registry:
+        self.server = await asyncio.start_server(self._serve, host, 0)
         self.address = "{}:{}".format(*self.server.sockets[0].getsockname())
         return self
 
--- a/sorrelfront/lab/shop.py
+++ b/sorrelfront/lab/shop.py
@@ -16,7 +16,7 @@
 
 class Mode(Enum):
     WELL = "well"
-    SLOW = "slow"  # ten times its time
+    SLOW = "slow"  # `slower` times its time
     HUNG = "hung"  # takes requests and answers none
     FAILING = "failing"  # answers 500 at once, and nothing has run
 
@@ -50,6 +50,8 @@
         self.name = name
         self.book = book
         self.mode = Mode.WELL
+        self.slower = 10.0  # times its time, while it is slow
+        self.gone = False  # killed: nothing that it holds runs any more
         self.requests = 0
         self.late_drains = 0
         self.service_s = service_s
@@ -84,7 +86,9 @@
             while self.mode is Mode.HUNG and not writer.is_closing():
                 await asyncio.sleep(0.02)
         async with self._room:
-            await asyncio.sleep(self.service_s * (10 if self.mode is Mode.SLOW else 1))
+            await asyncio.sleep(self.service_s * (self.slower if self.mode is Mode.SLOW else 1))
+        if self.gone:
+            return
         if whole.startswith(b"POST"):
             name, key = fields[b"x-call-id"].decode(), fields.get(b"idempotency-key", b"").decode()
             self.book.run(name, key)
--- /dev/null
+++ b/sorrelfront/lab/storm/checkers.py
@@ -0,0 +1,287 @@
+"""Verdicts over one recorded history. Each checker is a function from events to breaches and knows nothing of
+the stage; what belongs to a new part (views, versions, an order of recovery) is a function more.
+
+What is excused, and why, stands with each. A rule is judged by what reached servers and callers, never by
+what the program says of itself; the log is read for tracebacks and set-aside records alone."""
+
+from __future__ import annotations
+
+import bisect
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sorrelfront.lab.storm.history import Event
+
+DRAIN_S = 0.5
+SLACK_S = 0.05  # sockets' own, as the rules give it
+LATE_S = 0.5  # after its time an answer earns nothing; later still it is lost
+NEAR_S = 1.0  # the rig's own lateness is looked for so far before an event
+KILLED = frozenset({"kill", "power", "late"})
+STOPPED = KILLED | {"freeze"}
+ENDED_AT_ONCE_S = 0.5  # what a killed instance held is seen to have ended within this
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    """One rule broken once."""
+
+    rule: str
+    t: float
+    what: str
+
+
+Checker = Callable[[list[Event]], list[Breach]]
+
+
+class Spans:
+    """When each host was disturbed, and the rig late."""
+
+    def __init__(self, events: list[Event]) -> None:
+        self._spans: dict[str, list[tuple[float, float, str]]] = defaultdict(list)
+        open_: dict[int, Event] = {}
+        back: dict[str, list[float]] = defaultdict(list)
+        end = events[-1]["t"] if events else 0.0
+        for event in events:
+            if event["kind"] == "ready" and event["ready"] >= event["wanted"]:
+                back[event["host"]].append(event["t"])
+        for event in events:
+            if event["kind"] != "fault":
+                continue
+            if event["phase"] == "begin":
+                open_[event["number"]] = event
+            elif event["number"] in open_:
+                self._add(open_.pop(event["number"]), event["t"], back)
+        for event in open_.values():
+            self._add(event, end, back)
+        lags = [event for event in events if event["kind"] == "lag"]
+        self._lag_at = [event["t"] for event in lags]
+        self._lag = [event["ms"] / 1e3 for event in lags]
+
+    def _add(self, began: Event, until: float, back: dict[str, list[float]]) -> None:
+        what = began["what"]
+        for host in began["hosts"]:
+            over = until
+            if what in KILLED or what == "restart":
+                ready = back[host]
+                at = bisect.bisect_right(ready, until)
+                over = ready[at] if at < len(ready) else float("inf")
+            self._spans[host].append((began["t"], over, what))
+
+    def disturbed(self, host: str, since: float, until: float, kinds: frozenset[str]) -> bool:
+        """Whether one of these faults was on the host at any moment from `since` to `until`."""
+        return any(
+            kind in kinds and began <= until and over >= since
+            for began, over, kind in self._spans.get(host, ())
+        )
+
+    def lag(self, until: float) -> float:
+        """Seconds by which the rig itself was late shortly before, at the worst."""
+        first = bisect.bisect_left(self._lag_at, until - NEAR_S)
+        last = bisect.bisect_right(self._lag_at, until + NEAR_S)
+        return max(self._lag[first:last], default=0.0)
+
+
+def _asks(events: list[Event]) -> dict[str, Event]:
+    return {event["call"]: event for event in events if event["kind"] == "ask"}
+
+
+def answered(events: list[Event]) -> list[Breach]:
+    """Rule 1: exactly one answer to each request that was taken. Excused: requests on a host that was killed,
+    or had an instance killed, while they were under way; what no process had read (the kernel's reset says
+    so)."""
+    spans = Spans(events)
+    found = []
+    asks = _asks(events)
+    seen: dict[str, int] = defaultdict(int)
+    for event in events:
+        if event["kind"] != "answer":
+            continue
+        seen[event["call"]] += 1
+        asked = asks[event["call"]]
+        if seen[event["call"]] > 1:
+            found.append(Breach("answered", event["t"], f"{event['call']} has two answers"))
+        if event["status"] != "lost":
+            continue
+        host = event["host"]
+        killed = spans.disturbed(host, asked["t"], event["t"], KILLED)
+        one = spans.disturbed(host, asked["t"] - ENDED_AT_ONCE_S, event["t"], frozenset({"kill-instance"}))
+        if not killed and not one:
+            found.append(Breach("answered", event["t"], f"{event['call']} at {host} got no answer"))
+    end = events[-1]["t"] if events else 0.0
+    for call, asked in asks.items():
+        if not seen[call] and not spans.disturbed(asked["host"], asked["t"], end, STOPPED):
+            found.append(Breach("answered", asked["t"], f"{call} at {asked['host']} was never answered"))
+    return found
+
+
+def in_time(events: list[Event]) -> list[Breach]:
+    """Rule 1: in time, that is within the class's deadline and half a second. Excused: hosts that were
+    frozen, starved or killed while the request was under way; the rig's own lateness is added."""
+    spans = Spans(events)
+    asks = _asks(events)
+    limit = next((event["deadline_ms"] for event in events if event["kind"] == "storm"), 0.0) / 1e3
+    excused = STOPPED | {"starve"}
+    found = []
+    for event in events:
+        if event["kind"] == "answer" and event["status"] not in ("lost", "reset"):
+            took = event["ms"] / 1e3
+            over = took - limit - LATE_S - spans.lag(event["t"])
+            if over > 0 and not spans.disturbed(event["host"], asks[event["call"]]["t"], event["t"], excused):
+                found.append(
+                    Breach("in-time", event["t"], f"{event['call']} at {event['host']} took {took:.3f} s")
+                )
+    return found
+
+
+def once(events: list[Event]) -> list[Breach]:
+    """Rule 2: no effect twice, by the servers' book. Nothing is excused."""
+    first: dict[str, Event] = {}
+    found = []
+    for event in events:
+        if event["kind"] == "effect":
+            earlier = first.setdefault(event["key"], event)
+            if earlier is not event:
+                where = f"at {earlier['server']} and {event['server']}"
+                found.append(Breach("once", event["t"], f"{event['key']} ran twice, {where}"))
+    return found
+
+
+def refusals(events: list[Event]) -> list[Breach]:
+    """Rule 2: a refusal of an unsafe request promises that none of its attempts has run. Nothing is
+    excused."""
+    ran = {event["call"] for event in events if event["kind"] == "effect" and event["class"] == "pay"}
+    return [
+        Breach("refusals", event["t"], f"{event['call']} was refused and had run")
+        for event in events
+        if event["kind"] == "answer" and event["status"] in ("429", "503") and event["call"] in ran
+    ]
+
+
+def drains(events: list[Event]) -> list[Breach]:
+    """Rule 3: nothing new to a server later than 500 ms after a host's watch was sent that it drains.
+    Excused: a host while it is frozen or starved and for 500 ms after; sockets have 50 ms; the rig's lateness
+    is added."""
+    spans = Spans(events)
+    told: dict[tuple[str, str], float] = {}
+    found = []
+    for event in events:
+        if event["kind"] == "told":
+            if event["phase"] == "draining":
+                told[event["host"], event["server"]] = event["t"]
+            else:
+                told.pop((event["host"], event["server"]), None)
+        elif event["kind"] == "arrive" and event["host"]:
+            at = told.get((event["host"], event["server"]))
+            if at is None:
+                continue
+            over = event["sent"] - at - DRAIN_S - SLACK_S - spans.lag(event["t"])
+            excused = frozenset({"freeze", "starve"})
+            if over > 0 and not spans.disturbed(
+                event["host"], event["sent"] - DRAIN_S, event["sent"], excused
+            ):
+                late = f"{event['sent'] - at:.3f} s after it was told that it drains"
+                found.append(
+                    Breach(
+                        "drains",
+                        event["t"],
+                        f"{event['host']} sent {event['call']} to {event['server']} {late}",
+                    )
+                )
+    return found
+
+
+def cold(events: list[Event]) -> list[Breach]:
+    """Rule 4, over all agents together: in no window more than `multiple` x what a server as cold as this can
+    do."""
+    found = []
+    rows: dict[str, Event] = {}
+    windows: dict[str, list[float]] = {}
+    broken: set[str] = set()
+    for event in events:
+        if event["kind"] == "cold":
+            rows[event["server"]], windows[event["server"]] = event, []
+            broken.discard(event["server"])
+        elif event["kind"] == "arrive" and event["server"] in rows:
+            row = rows[event["server"]]
+            age = event["t"] - row["t"]
+            if age >= row["cold_s"]:
+                continue
+            window = windows[event["server"]]
+            window.append(event["t"])
+            since = bisect.bisect_left(window, event["t"] - row["span_s"])
+            del window[:since]
+            capacity = row["capacity"] * (row["from"] + (1 - row["from"]) * age / row["cold_s"])
+            most = row["multiple"] * capacity * row["span_s"]
+            if len(window) > most and event["server"] not in broken:
+                broken.add(event["server"])
+                found.append(
+                    Breach(
+                        "cold",
+                        event["t"],
+                        f"{event['server']}: {len(window)} in a window, {most:.0f} at most",
+                    )
+                )
+    return found
+
+
+def settled(events: list[Event]) -> list[Breach]:
+    """After the last fault every host that is there serves again."""
+    ends = [event for event in events if event["kind"] == "settled"]
+    if not ends:
+        return [Breach("settled", events[-1]["t"] if events else 0.0, "the storm did not come to its end")]
+    return [Breach("settled", event["t"], event["why"]) for event in ends if not event["ok"]]
+
+
+def exits(events: list[Event]) -> list[Breach]:
+    """A program that is told to stop ends with 0, and none has a traceback in its log."""
+    found = [
+        Breach("exits", event["t"], f"{event['host']} ended with {event['code']} when told to stop")
+        for event in events
+        if event["kind"] == "end" and event["asked"] and event["code"] != 0
+    ]
+    return found + [
+        Breach("exits", event["t"], f"{event['host']}: {event['line'][:160]}")
+        for event in events
+        if event["kind"] == "said" and "Traceback" in event["line"]
+    ]
+
+
+def records(events: list[Event]) -> list[Breach]:
+    """What a program holds to be durable is there after a power cut, or something newer; and it finds no
+    torn record unless the disk itself was made to fail."""
+    hurt = {
+        host
+        for event in events
+        if event["kind"] == "fault" and event["what"] in ("disk-torn", "disk-back", "disk-gone")
+        for host in event["hosts"]
+    }
+    found = [
+        Breach("records", event["t"], f"{event['host']}: {path} was promised and is gone")
+        for event in events
+        if event["kind"] == "disk"
+        for path in event["broken"]
+    ]
+    return found + [
+        Breach("records", event["t"], f"{event['host']}: {event['line'][:160]}")
+        for event in events
+        if event["kind"] == "said" and " is not used: " in event["line"] and event["host"] not in hurt
+    ]
+
+
+CHECKERS: dict[str, Checker] = {
+    "answered": answered,
+    "in-time": in_time,
+    "once": once,
+    "refusals": refusals,
+    "drains": drains,
+    "cold": cold,
+    "settled": settled,
+    "exits": exits,
+    "records": records,
+}
+
+
+def judge(events: list[Event]) -> dict[str, list[Breach]]:
+    """Every rule's breaches, by its name."""
+    return {name: check(events) for name, check in CHECKERS.items()}
--- /dev/null
+++ b/sorrelfront/lab/storm/launch.py
@@ -0,0 +1,143 @@
+"""Starts a program of the product with its seams set, and then runs the program's own main.
+
+`python -m sorrelfront.lab.storm.launch -m MODULE ARGUMENTS`, with `SORRELFRONT_STORM_SEAMS` naming the host's
+folder of the rig. Three seams: the clock (every part reads the standard library's `time` module by name, the
+event loop too), the disk (`daemon.records.disk`), and the command by which the supervisor starts instances
+(`daemon.fleet.INSTANCE`), so that these come through here as well. Planted defects, for tests of the
+checkers, are set here as well and nowhere else."""
+
+from __future__ import annotations
+
+import mmap
+import os
+import runpy
+import struct
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+SEAMS = "SORRELFRONT_STORM_SEAMS"
+PLANT = "SORRELFRONT_STORM_PLANT"
+CLOCK = "clock"
+# Rate, real monotonic ns and told monotonic ns since which it holds, and what the time of day is off by in
+# ns.
+CLOCK_LAYOUT = struct.Struct("dqqq")
+PLANTS = ("repeats-unsafe", "forgets-drains", "skips-sync")
+
+
+@dataclass(frozen=True, slots=True)
+class Clock:
+    """A host's clock as a line over the machine's."""
+
+    rate: float = 1.0
+    since_ns: int = 0
+    told_ns: int = 0
+    off_ns: int = 0
+
+    def monotonic_ns(self, real_ns: int) -> int:
+        return self.told_ns + int((real_ns - self.since_ns) * self.rate)
+
+    def stepped(self, by_s: float) -> Clock:
+        """The time of day jumps; elapsed time does not."""
+        return Clock(self.rate, self.since_ns, self.told_ns, self.off_ns + int(by_s * 1e9))
+
+    def at_rate(self, rate: float, real_ns: int) -> Clock:
+        """Runs at another rate from now on, without a jump."""
+        return Clock(rate, real_ns, self.monotonic_ns(real_ns), self.off_ns)
+
+    def write(self, folder: Path) -> None:
+        data = CLOCK_LAYOUT.pack(self.rate, self.since_ns, self.told_ns, self.off_ns)
+        path = folder / CLOCK
+        if not path.exists():
+            path.write_bytes(data)
+        else:
+            with path.open("r+b") as file:  # in place: it is mapped
+                file.write(data)
+
+
+def set_clock(folder: Path) -> None:
+    """Have this process read time off the host's clock. Risk: a read while it is written mixes two lines; the
+    next read is right again."""
+    with (folder / CLOCK).open("rb") as file:
+        page = mmap.mmap(file.fileno(), CLOCK_LAYOUT.size, access=mmap.ACCESS_READ)
+    real_monotonic, real_time = time.monotonic_ns, time.time_ns
+    unpack = CLOCK_LAYOUT.unpack_from
+
+    def monotonic_ns() -> int:
+        rate, since, told, _ = unpack(page)
+        return int(told + (real_monotonic() - since) * rate)
+
+    def time_ns() -> int:
+        now = real_monotonic()
+        return real_time() - now + monotonic_ns() + int(unpack(page)[3])
+
+    time.monotonic_ns = monotonic_ns
+    time.time_ns = time_ns
+    time.monotonic = lambda: monotonic_ns() / 1e9
+    time.time = lambda: time_ns() / 1e9
+
+
+def plant(name: str) -> None:
+    """Make this process faulty, for a test that the checkers see it."""
+    if name == "repeats-unsafe":
+        from sorrelfront.decisions import balancer as part
+        from sorrelfront.decisions.interface import Outcome
+
+        told = part.Balancer.on_attempt_ended
+
+        def on_attempt_ended(self: Any, ended: Any, now: int) -> Any:
+            """Holds every attempt that broke for one that never ran."""
+            if ended.outcome not in (Outcome.OK, Outcome.REJECTED, Outcome.UNSENT) and not ended.finished:
+                ended = ended._replace(outcome=Outcome.UNREACHABLE)
+            return told(self, ended, now)
+
+        part.Balancer.on_attempt_ended = on_attempt_ended  # type: ignore[method-assign,assignment]
+    elif name == "forgets-drains":
+        from sorrelfront import agent as held
+
+        heard, failed = held.Agent._on_update, held.Agent._on_failure
+
+        def on_update(self: Any, update: Any) -> None:
+            self.storm_told = update if update.complete else getattr(self, "storm_told", update)
+            heard(self, update)
+
+        def on_failure(self: Any) -> None:
+            """Goes back to the whole list that it heard first, once its watch is gone."""
+            if getattr(self, "storm_told", None) is not None:
+                heard(self, self.storm_told._replace(complete=True))
+            failed(self)
+
+        held.Agent._on_update = on_update  # type: ignore[method-assign]
+        held.Agent._on_failure = on_failure  # type: ignore[method-assign]
+    elif name != "skips-sync":
+        raise SystemExit(f"{PLANT}: no defect is called {name!r}; there are {', '.join(PLANTS)}")
+
+
+def main() -> None:
+    folder = Path(os.environ[SEAMS])
+    if (folder / CLOCK).exists():
+        set_clock(folder)
+    from sorrelfront.daemon import fleet, records
+    from sorrelfront.lab.storm.disk import LoggedDisk
+
+    planted = os.environ.get(PLANT, "")
+    records.disk = LoggedDisk(folder, skip_sync=planted == "skips-sync")
+    fleet.INSTANCE = [
+        sys.executable,
+        "-m",
+        "sorrelfront.lab.storm.launch",
+        "-m",
+        "sorrelfront.daemon.instance",
+    ]
+    if planted:
+        plant(planted)
+    _, flag, module, *rest = sys.argv
+    assert flag == "-m"
+    sys.argv = [module, *rest]
+    runpy.run_module(module, run_name="__main__", alter_sys=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sorrelfront/lab/storm/report.py
@@ -0,0 +1,221 @@
+"""A storm on one page: a self-contained HTML file with a timeline in SVG, verdicts, and the log around each
+breach."""
+
+from __future__ import annotations
+
+import html
+import io
+from collections import defaultdict
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import numpy as np
+
+from sorrelfront.lab.storm.history import HISTORY, Event, read
+from sorrelfront.lab.storm.run import FILE, VERDICT, again
+
+LINES_AROUND = 6  # of the log, before and after a breach
+BREACHES_SHOWN = 10
+STEP_S = 0.2
+COLOURS = {"up": "#cfe3f5", "ready": "#4c8c4a", "partly": "#b9d7a0", "frozen": "#5b7db1", "down": "#d9d9d9"}
+STYLE = """
+body{font:15px/1.45 system-ui,sans-serif;max-width:1100px;margin:2em auto;padding:0 1em;color:#222}
+table{border-collapse:collapse;margin:.6em 0}td,th{padding:.2em .8em .2em 0;text-align:left}
+.held{color:#2c6b2a}.broken{color:#a61b1b}.void{color:#8a6100}pre{background:#f5f5f3;padding:.7em;
+overflow-x:auto;font-size:12px}h1{font-size:1.4em}h2{font-size:1.1em;margin-top:1.6em}svg{max-width:100%;height:auto}
+"""
+
+
+def write(folder: Path) -> Path:
+    """Write `report.html` into a kept storm's folder. Raises OSError and ValueError."""
+    events = read(folder / HISTORY)
+    verdict = msgspec.json.decode((folder / VERDICT).read_bytes())
+    path = folder / "report.html"
+    path.write_text(page(events, verdict, folder))
+    return path
+
+
+def page(events: list[Event], verdict: dict[str, Any], folder: Path) -> str:
+    """The whole page."""
+    result = verdict["result"]
+    rules = "".join(
+        f"<tr><td>{html.escape(name)}</td><td class={'broken' if row['breaches'] else 'held'}>"
+        f"{row['breaches'] or 'kept'}</td>"
+        f"<td>{html.escape(row['first'][0]['what']) if row['first'] else ''}</td></tr>"
+        for name, row in verdict["rules"].items()
+    )
+    figures = "".join(
+        f"<tr><td>{html.escape(name)}</td><td>{html.escape(str(value))}</td></tr>"
+        for name, value in {**verdict["figures"], **verdict["rig"]}.items()
+    )
+    plan = "".join(
+        f"<tr><td>{event['t']:.2f} s</td><td>{html.escape(event['words'])}</td></tr>"
+        for event in events
+        if event["kind"] == "fault" and event["phase"] == "begin"
+    )
+    void = "".join(f"<p class=void>{html.escape(why)}</p>" for why in verdict["void"])
+    return f"""<!doctype html><html lang=en><meta charset=utf-8><title>{html.escape(verdict["storm"])}</title>
+<style>{STYLE}</style>
+<h1>Storm {html.escape(verdict["storm"])}, seed {verdict["seed"]}: <span class={result}>{result}</span></h1>
+{void}{timeline(events)}
+<h2>Rules</h2><table><tr><th>rule</th><th>breaches</th><th>first</th></tr>{rules}</table>
+{_breaches(events, verdict)}
+<h2>Faults</h2><table>{plan}</table>
+<h2>Figures</h2><table>{figures}</table>
+<h2>Once more</h2><pre>{html.escape(again(folder / FILE, verdict["seed"]))}</pre></html>
+"""
+
+
+def _breaches(events: list[Event], verdict: dict[str, Any]) -> str:
+    """The log around each of the first breaches."""
+    said = [event for event in events if event["kind"] in ("said", "fault")]
+    times = [event["t"] for event in said]
+    parts = []
+    found = [item for row in verdict["rules"].values() for item in row["first"]]
+    for item in sorted(found, key=lambda one: float(one["t"]))[:BREACHES_SHOWN]:
+        at = int(np.searchsorted(times, item["t"]))
+        lines = "\n".join(
+            f"{event['t']:8.3f}  {event.get('host', '--')}  {event.get('line') or event.get('words', 'over')}"
+            for event in said[max(0, at - LINES_AROUND) : at + LINES_AROUND]
+        )
+        parts.append(
+            f"<h2 class=broken>{item['rule']} at {item['t']:.3f} s: {html.escape(item['what'])}</h2>"
+            f"<pre>{html.escape(lines)}</pre>"
+        )
+    return "".join(parts)
+
+
+def bars(events: list[Event], host: str, end: float) -> list[tuple[float, float, str]]:
+    """A host's states in a row: since when, until when, and which."""
+    state, frozen, running = "down", False, 0
+    ready, wanted = 0, 1
+    marks: list[tuple[float, str]] = [(0.0, "down")]
+    freezes: set[int] = set()
+    for event in events:
+        kind = event["kind"]
+        if kind == "fault" and host in event["hosts"]:
+            if event["phase"] == "begin" and event["what"] == "freeze":
+                freezes.add(event["number"])
+            elif event["phase"] == "over":
+                freezes.discard(event["number"])
+            if event["phase"] == "begin" and event["what"] in ("kill", "power"):
+                running, ready = 0, 0
+        elif event.get("host") == host and kind == "start":
+            running += 1
+        elif event.get("host") == host and kind == "end":
+            running = max(0, running - 1)
+        elif event.get("host") == host and kind == "ready":
+            ready, wanted = event["ready"], event["wanted"]
+        else:
+            continue
+        frozen = bool(freezes)
+        state = (
+            "frozen"
+            if frozen
+            else "ready"
+            if ready >= wanted
+            else "partly"
+            if ready
+            else "up"
+            if running
+            else "down"
+        )
+        if marks[-1][1] != state:
+            marks.append((event["t"], state))
+    times = [at for at, _ in marks[1:]] + [end]
+    return [(at, until, name) for (at, name), until in zip(marks, times, strict=True)]
+
+
+def timeline(events: list[Event]) -> str:
+    """The picture: hosts, faults, service, latency."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+    from matplotlib.patches import Patch
+
+    end = events[-1]["t"]
+    hosts = next(event["hosts"] for event in events if event["kind"] == "storm")
+    faults = _faults(events, end)
+    figure, (top, middle, rate, slow) = pyplot.subplots(
+        4, 1, sharex=True, figsize=(11, 3.4 + 0.32 * len(hosts) + 0.24 * len(faults)),
+        height_ratios=[0.5 + 0.5 * len(hosts), 0.5 + 0.4 * max(1, len(faults)), 3, 2], layout="constrained",
+    )  # fmt: skip
+    for row, host in enumerate(hosts):
+        for since, until, state in bars(events, host, end):
+            top.barh(row, until - since, left=since, height=0.62, color=COLOURS[state])
+    top.set_yticks(range(len(hosts)), hosts)
+    top.invert_yaxis()
+    top.legend(
+        handles=[Patch(color=colour, label=name) for name, colour in COLOURS.items()], ncols=5, fontsize=8,
+        loc="lower left", bbox_to_anchor=(0, 1.0), frameon=False,
+    )  # fmt: skip
+    for row, (since, until, words) in enumerate(faults):
+        middle.barh(row, max(until - since, end / 200), left=since, height=0.6, color="#c96f4a")
+        near = since < end * 0.6
+        middle.annotate(
+            words,
+            (until if near else since, row),
+            xytext=(4 if near else -4, 0),
+            textcoords="offset points",
+            va="center",
+            ha="left" if near else "right",
+            fontsize=8,
+        )
+    middle.set_yticks([])
+    middle.set_ylabel("faults")
+    middle.invert_yaxis()
+    _service(events, end, rate, slow)
+    text = io.StringIO()
+    figure.savefig(text, format="svg")
+    pyplot.close(figure)
+    drawn = text.getvalue()
+    return drawn[drawn.index("<svg") :]
+
+
+def _faults(events: list[Event], end: float) -> list[tuple[float, float, str]]:
+    over = {
+        event["number"]: event["t"]
+        for event in events
+        if event["kind"] == "fault" and event["phase"] == "over"
+    }
+    return [
+        (event["t"], over.get(event["number"], end), event["words"])
+        for event in events
+        if event["kind"] == "fault" and event["phase"] == "begin"
+    ]
+
+
+def _service(events: list[Event], end: float, rate: Any, slow: Any) -> None:
+    edges = np.arange(0.0, end + STEP_S, STEP_S)
+    groups: dict[str, list[float]] = defaultdict(list)
+    latencies: dict[int, list[float]] = defaultdict(list)
+    for event in events:
+        if event["kind"] != "answer":
+            continue
+        status = event["status"]
+        name = "served" if status == "200" else "refused" if status in ("429", "503") else "failed or lost"
+        groups[name].append(event["t"])
+        if name == "served":
+            latencies[int(event["t"] / STEP_S)].append(event["ms"])
+    for name, colour in (("served", "#2c6b2a"), ("refused", "#c49a1a"), ("failed or lost", "#a61b1b")):
+        counts, _ = np.histogram(groups[name], edges)
+        rate.step(edges[:-1], counts / STEP_S, where="post", color=colour, label=name, lw=1.2)
+    rate.set_ylabel("answers a second")
+    rate.legend(fontsize=8, frameon=False, ncols=3, loc="upper right")
+    steps = sorted(latencies)
+    for share, colour in ((50, "#5b7db1"), (99, "#333333")):
+        slow.plot(
+            [step * STEP_S for step in steps],
+            [float(np.percentile(latencies[step], share)) for step in steps],
+            color=colour,
+            lw=1.1,
+            label=f"{share}th percentile",
+        )
+    if steps:
+        slow.set_yscale("log")
+    slow.set_ylabel("ms, of the served")
+    slow.legend(fontsize=8, frameon=False, ncols=2, loc="upper right")
+    slow.set_xlabel("seconds since the storm's set-up began")
+    slow.set_xlim(0, end)
--- /dev/null
+++ b/sorrelfront/lab/storm/scenario.py
@@ -0,0 +1,417 @@
+"""A storm's file: TOML, checked whole; hosts, load, faults at times or drawn from a seed, and what must hold.
+
+Distributions of drawn faults: how many, evenly from `count`; when each begins, evenly in `within_s`; how long
+it lasts, log-evenly in `lasts_s`; its kind by the weights of `kinds`; its host evenly. One that would overlap
+with another on the same host or link is drawn again, and left out after 50 draws. Sizes of a kind (a delay, a
+rate, a step) are drawn log-evenly in the range of its row in `KINDS`."""
+
+from __future__ import annotations
+
+import dataclasses
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+import numpy as np
+from msgspec import Meta
+
+from sorrelfront.daemon.configuration import BadDocument, Checker, Fault, Table
+
+HOSTS_MOST = 16
+FILE_MOST = 256 * 1024  # bytes
+FAULTS_MOST = 256
+DRAWS_MOST = 50  # for one fault that does not overlap
+PARTS = {
+    "host": (
+        "kill",
+        "kill-supervisor",
+        "kill-instance",
+        "freeze",
+        "late",
+        "starve",
+        "restart",
+        "replace",
+        "reload",
+        "power",
+        "clock-step",
+        "clock-fast",
+        "disk-full",
+        "disk-readonly",
+        "disk-slow",
+        "disk-torn",
+        "disk-back",
+        "disk-gone",
+    ),
+    "link": ("cut", "one-way", "ring", "refuse", "reset", "forget", "delay", "narrow", "datagrams"),
+    "server": ("server-kill", "server-slow", "server-hang", "server-fail", "server-drain", "server-new"),
+    "list": ("list-down",),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """What a fault is: which part of the stage it is done to, whether it lasts, and the range of its size."""
+
+    part: str
+    lasts: bool = True
+    size: tuple[float, float] | None = None  # for drawn ones, in the unit that the operators' page names
+
+
+def _kinds() -> dict[str, Kind]:
+    once = {
+        "kill-instance",
+        "replace",
+        "reload",
+        "restart",
+        "disk-torn",
+        "disk-back",
+        "disk-gone",
+        "reset",
+        "forget",
+        "server-drain",
+        "server-new",
+        "clock-step",
+    }
+    sizes = {
+        "clock-step": (-3_600.0, 3_600.0), "clock-fast": (50.0, 200.0), "disk-slow": (10.0, 500.0),
+        "delay": (1.0, 50.0), "narrow": (20_000.0, 1_000_000.0), "datagrams": (0.01, 0.3),
+        "server-slow": (2.0, 10.0),
+    }  # fmt: skip
+    return {
+        name: Kind(part, name not in once, sizes.get(name)) for part, names in PARTS.items() for name in names
+    }
+
+
+KINDS = _kinds()
+DAEMONS_ONLY = {
+    name for name in PARTS["host"] if name.startswith(("kill-", "re", "power", "clock", "disk"))
+} - {"restart"}
+
+
+class Storm(Table, kw_only=True):
+    name: Annotated[str, Meta(min_length=1, max_length=64, pattern="^[a-z0-9-]+$")]
+    about: Annotated[str, Meta(max_length=400)] = ""
+    seconds: Annotated[float, Meta(ge=0.5, le=600)] = 8.0
+    hosts: Annotated[int, Meta(ge=1, le=HOSTS_MOST)] = 2
+    instances: Annotated[int, Meta(ge=1, le=16)] = 2
+    servers: Annotated[int, Meta(ge=1, le=64)] = 6
+    platform: bool = False  # each host runs one `sorrelfront.platform` in place of a daemon
+    state: bool = True  # a state folder for each host
+    plant: Literal["", "repeats-unsafe", "forgets-drains", "skips-sync"] = ""
+
+
+class Load(Table, kw_only=True):
+    clients: Annotated[int, Meta(ge=0, le=1_000)] = 6  # of each host
+    pause_ms: Annotated[float, Meta(ge=0, le=60_000)] = 20.0
+    service_ms: Annotated[float, Meta(ge=0.1, le=10_000)] = 8.0
+    slots: Annotated[int, Meta(ge=1, le=1_000)] = 8
+    deadline_ms: Annotated[float, Meta(ge=50, le=60_000)] = 2_500.0
+
+
+class Expect(Table, kw_only=True):
+    settle_s: Annotated[float, Meta(ge=0.1, le=300)] = 30.0  # for all hosts to serve again after the end
+    answers: Annotated[int, Meta(ge=0, le=100_000)] = 20  # that each host must give then
+    served: Annotated[float, Meta(ge=0, le=1)] = 0.0  # least share of what was asked
+    # for a planted defect: the rule that must be found broken
+    breach: Annotated[str, Meta(max_length=64)] = ""
+
+
+class Void(Table, kw_only=True):
+    lag_ms: Annotated[float, Meta(ge=1, le=60_000)] = 400.0  # 99th percentile of the rig's own lateness
+    relay_us: Annotated[float, Meta(ge=1, le=1_000_000)] = 2_000.0  # the same of a relay's own delay
+
+
+class Trouble(Table, kw_only=True):
+    """One fault. `at` and `lasts` in seconds from when the load begins."""
+
+    what: Annotated[str, Meta(min_length=1)]
+    at: Annotated[float, Meta(ge=0, le=600)]
+    lasts: Annotated[float, Meta(ge=0, le=600)] = 0.0
+    hosts: Annotated[list[str], Meta(max_length=HOSTS_MOST)] = msgspec.field(default_factory=list)
+    to: Annotated[list[str], Meta(max_length=96)] = msgspec.field(default_factory=list)
+    size: float = 0.0
+    part: Annotated[int, Meta(ge=0, le=255)] = 0  # which instance
+
+
+Range = Annotated[list[float], Meta(min_length=2, max_length=2)]
+
+
+class Draw(Table, kw_only=True):
+    count: Annotated[list[int], Meta(min_length=2, max_length=2)]
+    within_s: Range
+    lasts_s: Range
+    kinds: dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Planned:
+    """A fault as it will be played. `pairs`: of hosts, for those on links."""
+
+    what: str
+    at: float
+    lasts: float
+    hosts: tuple[str, ...]
+    to: tuple[str, ...] = ()
+    size: float = 0.0
+    part: int = 0
+
+    @property
+    def until(self) -> float:
+        return self.at + self.lasts
+
+    @property
+    def targets(self) -> set[str]:
+        """What it holds while it lasts: two that hold the same thing at once cannot be told apart."""
+        kind = KINDS[self.what]
+        if kind.part == "link":
+            return {f"{kind.part}:{src}>{dst}" for src, dst in self.pairs}
+        if kind.part == "host":
+            group = self.what.partition("-")[0] if self.what.startswith(("clock", "disk")) else "process"
+            return {f"{group}:{name}" for name in self.hosts}
+        return {f"{kind.part}:{name}" for name in self.to or ("list",)}
+
+    @property
+    def pairs(self) -> set[tuple[str, str]]:
+        """The directed links that it is on."""
+        if self.what == "ring":
+            ring = list(self.hosts)
+            near = {(name, ring[(at + step) % len(ring)]) for at, name in enumerate(ring) for step in (1, -1)}
+            return {(a, b) for a in ring for b in ring if a != b} - near
+        there = {(src, dst) for src in self.hosts for dst in self.to if src != dst}
+        return there if self.what == "one-way" else there | {(dst, src) for src, dst in there}
+
+    def words(self) -> str:
+        size = f" ({self.size:g})" if self.size else ""
+        to = f" to {', '.join(_short(self.to))}" if self.to and self.hosts else ", ".join(_short(self.to))
+        return f"{self.what}{size} {', '.join(self.hosts)}{to}".strip()
+
+
+def _short(names: tuple[str, ...]) -> list[str]:
+    """Servers in a row as one word."""
+    servers = [name for name in names if name[0] == "s"]
+    return [name for name in names if name[0] != "s"] + (
+        servers if len(servers) < 4 else [f"{servers[0]}..{servers[-1]}"]
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """A good file."""
+
+    path: Path
+    storm: dict[str, Any]
+    load: dict[str, Any]
+    expect: dict[str, Any]
+    void: dict[str, Any]
+    faults: tuple[Planned, ...]
+    draw: dict[str, Any] | None
+    text: bytes = b""
+
+    @property
+    def hosts(self) -> list[str]:
+        return [f"h{number}" for number in range(1, self.storm["hosts"] + 1)]
+
+    @property
+    def servers(self) -> list[str]:
+        return [f"s{number}" for number in range(1, self.storm["servers"] + 1)]
+
+    def schedule(self, seed: int) -> list[Planned]:
+        """Every fault of this seed, in order. The same for the same file and seed, always."""
+        planned = list(self.faults)
+        if self.draw is not None:
+            planned += _drawn(self, np.random.default_rng([seed, 1]), planned)
+        return sorted(planned, key=lambda item: (item.at, item.what, item.hosts, item.to))
+
+
+def read(path: Path) -> Scenario:
+    """Read and check a file. Raises BadDocument with every fault found."""
+    try:
+        data = path.read_bytes()[: FILE_MOST + 1]
+    except OSError as fault:
+        raise BadDocument(path, [Fault("", "", fault.strerror or str(fault))]) from None
+    return parse(data, path)
+
+
+def parse(data: bytes, path: Path) -> Scenario:
+    """Check a file's bytes. Raises BadDocument."""
+    if len(data) > FILE_MOST:
+        raise BadDocument(path, [Fault("", "", f"is longer than {FILE_MOST} bytes")])
+    try:
+        top = tomllib.loads(data.decode())
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError, RecursionError, ValueError) as fault:
+        raise BadDocument(path, [Fault("", "", f"is not TOML: {fault}")]) from None
+    checker = Checker()
+    tables = ("storm", "load", "expect", "void", "faults", "draw")
+    for key in top:
+        if key not in tables:
+            checker.unknown("", key, tables)
+    made = Scenario(
+        path=path,
+        storm=checker.table(top.get("storm", {}), "storm", Storm),
+        load=checker.table(top.get("load", {}), "load", Load),
+        expect=checker.table(top.get("expect", {}), "expect", Expect),
+        void=checker.table(top.get("void", {}), "void", Void),
+        faults=(),
+        draw=checker.table(top["draw"], "draw", Draw) if "draw" in top else None,
+        text=data,
+    )
+    if checker.faults:
+        raise BadDocument(path, checker.faults)
+    faults = _faults(made, top.get("faults", []), checker)
+    if made.draw is not None:
+        _check_draw(made.draw, made, checker)
+    if checker.faults:
+        raise BadDocument(path, checker.faults)
+    return dataclasses.replace(made, faults=faults)
+
+
+def _faults(made: Scenario, rows: Any, checker: Checker) -> tuple[Planned, ...]:
+    if not isinstance(rows, list) or len(rows) > FAULTS_MOST:
+        checker.fault("faults", "", f"is not a list of at most {FAULTS_MOST} tables")
+        return ()
+    planned: list[tuple[str, Planned]] = []
+    for number, row in enumerate(rows, 1):
+        name = f"faults.{number}"
+        before = len(checker.faults)
+        values = checker.table(row, name, Trouble)
+        if len(checker.faults) == before:
+            item = _one(made, name, values, checker)
+            if item is not None:
+                planned.append((name, item))
+    for at, (name, item) in enumerate(planned):
+        for earlier, other in planned[:at]:
+            if _overlap(item, other):
+                checker.fault(name, "at", f"overlaps with [{earlier}] on {min(item.targets & other.targets)}")
+    return tuple(item for _, item in planned)
+
+
+def _one(made: Scenario, name: str, values: dict[str, Any], checker: Checker) -> Planned | None:
+    """One row as it will be played, or None and what is wrong with it."""
+    before = len(checker.faults)
+    what = values["what"]
+    if what not in KINDS:
+        checker.unknown(name, what, KINDS)
+        return None
+    kind = KINDS[what]
+    hosts = _names(
+        made,
+        name,
+        "hosts",
+        values["hosts"] or (made.hosts if kind.part in ("host", "link") else []),
+        checker,
+        ("host",),
+    )
+    to = _names(made, name, "to", values["to"], checker, ("host", "server", "list"))
+    if kind.part == "link" and what != "ring" and not to:
+        checker.fault(name, "to", 'is missing: hosts, servers, "servers" or "list"')
+    if kind.part == "server" and (not to or any(item[0] != "s" for item in to)):
+        checker.fault(name, "to", "names no server")
+    if what == "server-new":
+        to = to[:1]
+    if values["lasts"] and not kind.lasts:
+        checker.fault(name, "lasts", f"does not go with {what!r}, which is done once")
+    if what == "late" and values["at"]:
+        checker.fault(name, "at", "must be 0: a host that starts late")
+    if values["at"] + values["lasts"] > made.storm["seconds"]:
+        checker.fault(name, "at", f"goes on after the end at {made.storm['seconds']:g} s")
+    if what in ("kill-instance",) and values["part"] >= made.storm["instances"]:
+        checker.fault(name, "part", f"there are {made.storm['instances']} instances")
+    if kind.size is not None and not values["size"]:
+        checker.fault(name, "size", f"is missing: {what!r} has one, such as {kind.size[1]:g}")
+    if made.storm["platform"] and what in DAEMONS_ONLY:
+        checker.fault(name, "what", f"{what!r} needs daemons: [storm] platform is set")
+    if len(checker.faults) > before:
+        return None
+    return Planned(what, values["at"], values["lasts"], hosts, to, values["size"], values["part"])
+
+
+def _names(
+    made: Scenario, table: str, key: str, names: list[str], checker: Checker, parts: tuple[str, ...]
+) -> tuple[str, ...]:
+    """Names with groups spelled out: "hosts", "servers", "list", and "new" for servers that a fault adds."""
+    known = {"host": made.hosts, "server": made.servers, "list": ["list"]}
+    allowed = [name for part in parts for name in known[part]]
+    found: list[str] = []
+    for name in names:
+        if name == "hosts" and "host" in parts:
+            found += made.hosts
+        elif name == "servers" and "server" in parts:
+            found += made.servers
+        elif name in allowed or ("server" in parts and name.startswith("sx") and name[2:].isdigit()):
+            found.append(name)
+        else:
+            checker.unknown(table, name, tuple(allowed))
+    return tuple(dict.fromkeys(found))
+
+
+def _overlap(one: Planned, other: Planned) -> bool:
+    if not one.targets & other.targets:
+        return False
+    return one.at <= other.until and other.at <= one.until
+
+
+def _check_draw(draw: dict[str, Any], made: Scenario, checker: Checker) -> None:
+    for key in ("count", "within_s", "lasts_s"):
+        low, high = draw[key]
+        if not 0 <= low <= high:
+            checker.fault("draw", key, f"is not a range from low to high: {draw[key]}")
+    if not draw["kinds"]:
+        checker.fault("draw", "kinds", "names no kind")
+    for name, weight in draw["kinds"].items():
+        if name not in KINDS:
+            checker.unknown("draw.kinds", name, KINDS)
+        elif not 0 < weight < 1e6:
+            checker.fault("draw.kinds", name, "is not a weight above 0")
+    if draw["lasts_s"][0] <= 0:
+        checker.fault("draw", "lasts_s", "must begin above 0")
+    if draw["within_s"][1] + draw["lasts_s"][1] > made.storm["seconds"]:
+        checker.fault(
+            "draw", "within_s", f"with lasts_s goes on after the end at {made.storm['seconds']:g} s"
+        )
+
+
+def _drawn(made: Scenario, rng: np.random.Generator, planned: list[Planned]) -> list[Planned]:
+    draw = made.draw
+    assert draw is not None
+    names = sorted(draw["kinds"])
+    weights = np.array([draw["kinds"][name] for name in names])
+    found: list[Planned] = []
+    for _ in range(int(rng.integers(draw["count"][0], draw["count"][1] + 1))):
+        for _ in range(DRAWS_MOST):
+            item = _draw_one(made, rng, str(rng.choice(names, p=weights / weights.sum())))
+            if not any(_overlap(item, other) for other in [*planned, *found]):
+                found.append(item)
+                break
+    return found
+
+
+def _draw_one(made: Scenario, rng: np.random.Generator, what: str) -> Planned:
+    draw = made.draw
+    assert draw is not None
+    kind = KINDS[what]
+    at = 0.0 if what == "late" else round(float(rng.uniform(*draw["within_s"])), 3)
+    low, high = np.log(draw["lasts_s"])
+    lasts = round(float(np.exp(rng.uniform(low, high))), 3) if kind.lasts else 0.0
+    hosts: tuple[str, ...] = (str(rng.choice(made.hosts)),)
+    to: tuple[str, ...] = ()
+    if what in ("power", "ring"):
+        hosts = tuple(made.hosts)
+    elif kind.part == "link":
+        to = [tuple(made.servers), ("list",), (*made.servers, "list"), (str(rng.choice(made.servers)),)][
+            int(rng.integers(0, 4))
+        ]
+    elif kind.part == "server":
+        hosts, to = (), (str(rng.choice(made.servers)),)
+        if what == "server-new":
+            to = (f"sx{int(rng.integers(1, 1_000_000))}",)
+    elif kind.part == "list":
+        hosts = ()
+    size = 0.0
+    if what == "clock-step":
+        size = round(float(rng.uniform(*kind.size or (0, 0))), 3)
+    elif kind.size is not None:
+        size = round(float(np.exp(rng.uniform(*np.log(kind.size)))), 4)
+    part = int(rng.integers(0, made.storm["instances"])) if what == "kill-instance" else 0
+    return Planned(what, at, lasts, hosts, to, size, part)
--- /dev/null
+++ b/sorrelfront/lab/storm/stage.py
@@ -0,0 +1,883 @@
+"""The stage of a storm: real daemons on loopback addresses of their own, stand-ins around them, relays
+between.
+
+One address stands for one host. A host's daemon, its instances and whatever they start carry the host's mark;
+the stage ends them all, and a keeper does if the stage cannot."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import time
+import uuid
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+
+from sorrelfront.daemon import control
+from sorrelfront.daemon.processes import open_process, send_signal
+from sorrelfront.lab.crowd import Crowd
+from sorrelfront.lab.http1 import Registry, member, table
+from sorrelfront.lab.shop import Book, Mode, Server
+from sorrelfront.lab.storm import disk, launch
+from sorrelfront.lab.storm.history import History
+from sorrelfront.lab.storm.links import Network, TcpRelay
+from sorrelfront.lab.storm.processes import MARK, Keeper, Owned, kill_all, marked, signal_all
+from sorrelfront.lab.storm.scenario import KINDS, Planned, Scenario
+
+CLAIM_PORT = 20_001
+BLOCKS = range(1, 250)  # 127.0.N.*: one for each storm on this machine
+PORT = 18_080  # of each host's callers
+WINDOW_S = 4.0  # for how long servers remember a key
+COLD_S, COLD_FROM, COLD_MULTIPLE, COLD_SPAN_S = 9.0, 0.3, 3.0, 1.5
+READY_WITHIN_S = 60.0
+POLL_S = 0.1
+LAG_EVERY_S = 0.01
+LAG_TOLD_MS = 20.0
+END_WITHIN_S = 40.0
+LINE_MOST = 600  # bytes of a line of a log that are kept
+DESCRIPTORS = 16_384
+
+FILE = """
+[daemon]
+name = "{name}"
+control = "c.sock"
+instances = {instances}
+seed = {seed}
+{state}
+state_every_ms = 200
+restart_first_ms = 100
+hang_after_ms = 3000
+[log]
+format = "json"
+[listeners.http]
+address = "{address}"
+[classes.look]
+repeat = "safe"
+aim_ms = 300
+deadline_ms = {deadline_ms}
+[classes.book]
+repeat = "keyed"
+aim_ms = 500
+deadline_ms = {deadline_ms}
+window_ms = 4000
+[classes.pay]
+repeat = "unsafe"
+aim_ms = 500
+deadline_ms = {deadline_ms}
+[limits]
+held = {held}
+[membership]
+address = "{registry}"
+"""
+
+
+class CannotPlay(Exception):
+    """A storm that could not be set up, in one line."""
+
+
+class _Book(Book):
+    """The one book of all servers, as one of them writes it."""
+
+    def __init__(self, server: str, whole: Book, history: History) -> None:
+        super().__init__(whole.window_s)
+        self.ran, self._keys = whole.ran, whole._keys
+        self._server = server
+        self._history = history
+
+    def run(self, name: str, key: str) -> None:
+        before = self.ran[key or name]
+        super().run(name, key)
+        if self.ran[key or name] > before:
+            cls = "book" if key else "pay"
+            self._history.add("effect", server=self._server, key=key or name, call=name, **{"class": cls})
+
+
+class _Server(Server):
+    """A server that tells the history of what comes, and who sent it when."""
+
+    def __init__(self, name: str, stage: Stage) -> None:
+        load = stage.scenario.load
+        super().__init__(
+            name, _Book(name, stage.book, stage.history), load["service_ms"] / 1e3, load["slots"]
+        )
+        self._stage = stage
+
+    async def _serve_one(self, whole: bytes, writer: asyncio.StreamWriter) -> None:
+        stage = self._stage
+        origin = stage.network.origin(writer.get_extra_info("peername"))
+        sent = origin.sent_at - stage.history.began if origin else stage.history.now()
+        lines = whole.partition(b"\r\n\r\n")[0].split(b"\r\n")
+        calls = [line[11:].strip() for line in lines if line[:11].lower() == b"x-call-id: "]
+        stage.history.add(
+            "arrive", server=self.name, host=origin.host if origin else "", sent=round(sent, 6),
+            call=calls[0].decode("latin-1") if calls else "",
+        )  # fmt: skip
+        await super()._serve_one(whole, writer)
+
+    def is_cold(self) -> None:
+        self.begin()
+        self._stage.history.add(
+            "cold", server=self.name, capacity=self.slots / self.service_s, multiple=COLD_MULTIPLE,
+            span_s=COLD_SPAN_S, cold_s=COLD_S, **{"from": COLD_FROM},
+        )  # fmt: skip
+
+
+class _List(Registry):
+    """The list service as one host reaches it: servers stand in it by the addresses of this host's relays."""
+
+    def __init__(self, host: str, history: History) -> None:
+        super().__init__()
+        self._host = host
+        self._history = history
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._history.add("watch", host=self._host)
+        with contextlib.suppress(asyncio.CancelledError):  # the storm is taken down
+            await super()._serve(reader, writer)
+
+
+class _Told:
+    """Reads what a host's watches have been sent, line by line, as it passes the relay."""
+
+    def __init__(self, host: str, history: History) -> None:
+        self._host = host
+        self._history = history
+        self._rest: dict[int, bytes] = {}
+        self._known: dict[tuple[int, str], str] = {}
+
+    def __call__(self, connection: int, data: bytes) -> None:
+        *lines, rest = (self._rest.pop(connection, b"") + data).split(b"\n")
+        self._rest[connection] = rest
+        for line in lines:
+            if line.startswith(b'{"revision"'):
+                for item in json.loads(line)["members"]:
+                    self._one(connection, item["id"], item["phase"])
+
+    def _one(self, connection: int, server: str, phase: str) -> None:
+        if self._known.get((connection, server)) != phase:
+            self._known[connection, server] = phase
+            self._history.add("told", host=self._host, server=server, phase=phase)
+
+
+class _Crowd(Crowd):
+    """Callers beside one host's daemon."""
+
+    def __init__(self, host: Host) -> None:
+        self._host = host.name
+        self._history = host.stage.history
+        load = host.stage.scenario.load
+        super().__init__(host.address, load["clients"], load["pause_ms"] / 1e3, name=f"{host.name}-c")
+
+    def asks(self, name: str, cls: str) -> None:
+        self._history.add("ask", host=self._host, call=name, **{"class": cls})
+
+    def heard(self, name: str, cls: str, got: bytes, seconds: float) -> None:
+        status = got.split(b" ")[1].decode() if got.startswith(b"HTTP/1.1 ") else got.decode()
+        self._history.add(
+            "answer", host=self._host, call=name, status=status, ms=round(seconds * 1e3, 3), **{"class": cls}
+        )
+
+
+class Host:
+    """One host: its daemon, its disk and clock, its callers."""
+
+    def __init__(self, stage: Stage, number: int) -> None:
+        self.stage = stage
+        self.number = number
+        self.name = f"h{number}"
+        self.ip = f"127.0.{stage.block}.{number}"
+        self.address = (self.ip, PORT)
+        self.folder = stage.folder / self.name
+        self.folder.mkdir(mode=0o700)
+        self.path = self.folder / "sorrelfront.toml"
+        self.mark = f"{stage.mark}/{self.name}"
+        self.clock = launch.Clock()
+        self.launched = stage.needs_launcher(self.name)
+        if self.launched:
+            self.clock.write(self.folder)
+        self.list = _List(self.name, stage.history)
+        self.relays: dict[str, TcpRelay] = {}  # by server, and "list"
+        self.daemons: list[Owned] = []
+        self.crowd: _Crowd | None = None
+        self.there = True  # it is to be up
+        self.ready = -1
+        self.held = 1_000
+        self._spinners: list[Owned] = []
+        self._pipes: list[asyncio.ReadTransport] = []
+
+    @property
+    def wanted(self) -> int:
+        return 1 if self.stage.platform else int(self.stage.scenario.storm["instances"])
+
+    @property
+    def state(self) -> Path:
+        return self.folder / "state"
+
+    def write(self) -> None:
+        """The daemon's file, or the platform's."""
+        scenario = self.stage.scenario
+        if self.stage.platform:
+            config = table(self._place("list"), [])
+            for cls in config["settings"]["grades"]:
+                cls["giveUpUs"] = int(scenario.load["deadline_ms"] * 1000)
+            text = json.dumps(config)
+        else:
+            text = FILE.format(
+                name=self.name,
+                instances=scenario.storm["instances"],
+                seed=self.stage.seed * 100 + self.number,
+                state='state_dir = "state"' if scenario.storm["state"] else "",
+                held=self.held,
+                address=f"{self.ip}:{PORT}",
+                deadline_ms=scenario.load["deadline_ms"],
+                registry=self._place("list"),
+            )
+        fresh = self.path.with_suffix(".new")
+        fresh.write_text(text)
+        fresh.replace(self.path)
+
+    def _place(self, name: str) -> str:
+        return "{}:{}".format(*self.relays[name].address)
+
+    def start(self, *more: str) -> Owned:
+        """Start the program by its real command; through the lab's launcher if this storm sets its seams."""
+        environ = {**os.environ, MARK: self.mark}
+        if self.stage.platform:
+            words = ["-m", "sorrelfront.platform"]
+            environ |= {
+                "BALANCER_CONFIG": str(self.path), "BALANCER_LISTEN": f"{self.ip}:{PORT}",
+                "BALANCER_DISCOVERY": self._place("list"), "BALANCER_NAME": self.name,
+            }  # fmt: skip
+        else:
+            words = ["-m", "sorrelfront.cli.main", "serve", str(self.path), *more]
+        if self.launched:
+            words = ["-m", "sorrelfront.lab.storm.launch", *words]
+            environ[launch.SEAMS] = str(self.folder)
+            environ[launch.PLANT] = self.stage.scenario.storm["plant"]
+        read, write = os.pipe()
+        try:
+            owned = Owned([sys.executable, *words], environ, Path.cwd(), write)
+        finally:
+            os.close(write)
+        self.stage.spawn(self._listen(read))
+        self.daemons.append(owned)
+        self.stage.history.add("start", host=self.name, pid=owned.pid, more=list(more))
+        self.stage.spawn(self._await_end(owned))
+        return owned
+
+    async def _await_end(self, owned: Owned) -> None:
+        await owned.ended.wait()
+        if owned in self.daemons:
+            self.daemons.remove(owned)
+        asked = getattr(owned, "asked", False)
+        self.stage.history.add("end", host=self.name, pid=owned.pid, code=owned.code, asked=asked)
+
+    async def _listen(self, read: int) -> None:
+        """Its log, line by line."""
+        reader = asyncio.StreamReader(limit=1024 * 1024)
+        transport, _ = await asyncio.get_running_loop().connect_read_pipe(
+            lambda: asyncio.StreamReaderProtocol(reader), os.fdopen(read, "rb", 0)
+        )
+        try:
+            while line := await reader.readline():
+                self.stage.history.add(
+                    "said", host=self.name, line=line[:LINE_MOST].decode(errors="replace").rstrip()
+                )
+        except ValueError:
+            self.stage.history.add("said", host=self.name, line="(a line without end)")
+        finally:
+            transport.close()
+
+    async def look(self) -> None:
+        """Follow how many instances are ready."""
+        while True:
+            ready = await self._count_ready()
+            if ready != self.ready:
+                self.ready = ready
+                self.stage.history.add("ready", host=self.name, ready=ready, wanted=self.wanted)
+            await asyncio.sleep(POLL_S)
+
+    async def _count_ready(self) -> int:
+        if self.stage.platform:
+            return await self._platform_ready()
+        try:
+            status = await control.ask(self.folder / "c.sock", {"op": "status"}, 1.0)
+            return sum(
+                item["phase"] == "ready" and item.get("ready_servers", 0) > 0 for item in status["instances"]
+            )
+        except (control.Unavailable, OSError, TimeoutError, KeyError):
+            return 0
+
+    async def _platform_ready(self) -> int:
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(*self.address)
+                try:
+                    writer.write(b"GET /health/ready HTTP/1.1\r\nHost: app\r\nConnection: close\r\n\r\n")
+                    return int((await reader.readline()).startswith(b"HTTP/1.1 200"))
+                finally:
+                    writer.close()
+        except (OSError, TimeoutError):
+            return 0
+
+    async def stop(self, within_s: float = END_WITHIN_S) -> None:
+        """By SIGTERM, and wait for its end."""
+        daemons = list(self.daemons)
+        for owned in daemons:
+            owned.asked = True  # type: ignore[attr-defined]
+            owned.signal(signal.SIGTERM)
+        for owned in daemons:
+            await owned.reap(within_s)
+
+    async def kill(self) -> None:
+        """Every process of it, at once."""
+        await asyncio.to_thread(kill_all, self.mark)
+        for owned in list(self.daemons):
+            await owned.reap()
+
+    def signal(self, number: signal.Signals) -> None:
+        signal_all(self.mark, number)
+
+    async def status(self) -> list[dict[str, Any]]:
+        found = await control.ask(self.folder / "c.sock", {"op": "status"}, 2.0)
+        return list(found["instances"])
+
+    def starve(self, core: int) -> None:
+        """Have all its threads share one core with two spinners."""
+        for pid in marked(self.mark):
+            _pin(pid, {core})
+        for _ in range(2):
+            words = [
+                sys.executable,
+                "-c",
+                "import time\nend = time.monotonic() + 600\nwhile time.monotonic() < end: pass",
+            ]
+            spinner = Owned(words, {**os.environ, MARK: f"{self.stage.mark}/spinner"}, Path.cwd(), 2)
+            _pin(spinner.pid, {core})
+            self._spinners.append(spinner)
+
+    async def feed(self) -> None:
+        for spinner in self._spinners:
+            spinner.signal(signal.SIGKILL)
+            await spinner.reap()
+        self._spinners.clear()
+        for pid in marked(self.mark):
+            _pin(pid, set(range(os.cpu_count() or 1)))
+
+
+def _pin(pid: int, cores: set[int]) -> None:
+    with contextlib.suppress(OSError):
+        for task in os.listdir(f"/proc/{pid}/task"):
+            with contextlib.suppress(OSError):
+                os.sched_setaffinity(int(task), cores)
+
+
+class Stage:
+    """Sets a storm up, plays it, and takes everything down again."""
+
+    def __init__(self, scenario: Scenario, seed: int, history: History) -> None:
+        self.scenario = scenario
+        self.seed = seed
+        self.history = history
+        self.schedule = scenario.schedule(seed)
+        self.platform = bool(scenario.storm["platform"])
+        self.rng = np.random.default_rng([seed, 2])
+        self.network = Network(np.random.default_rng([seed, 3]))
+        self.book = Book(WINDOW_S)
+        self.mark = uuid.uuid4().hex
+        self.servers: dict[str, _Server] = {}
+        self.hosts: dict[str, Host] = {}
+        self.lags: list[float] = []
+        self.failed: str = ""
+        self._phases: dict[str, dict[str, Any]] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._holding: dict[int, Planned] = {}
+
+    def needs_launcher(self, host: str) -> bool:
+        seams = ("clock-", "disk-", "power")
+        return bool(self.scenario.storm["plant"]) or any(
+            item.what.startswith(seams) and host in item.hosts for item in self.schedule
+        )
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+        return task
+
+    def _done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.failed = self.failed or f"the rig failed: {task.exception()!r}"
+
+    # Up
+
+    async def play(self, show: Callable[[str], None] = lambda _: None) -> None:
+        """The whole storm. Raises CannotPlay."""
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if soft < DESCRIPTORS:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (min(DESCRIPTORS, hard), hard))
+        self.block, claim = claim_block(self.seed)
+        self.folder = Path(tempfile.mkdtemp(prefix="storm-"))
+        keeper = Keeper(self.mark)
+        try:
+            await self._set_up()
+            await self._storm(show)
+        finally:
+            await self._take_down()
+            keeper.close()
+            claim.close()
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    async def _set_up(self) -> None:
+        storm = self.scenario.storm
+        self.history.add(
+            "storm",
+            name=storm["name"],
+            seed=self.seed,
+            hosts=self.scenario.hosts,
+            block=self.block,
+            deadline_ms=self.scenario.load["deadline_ms"],
+            instances=storm["instances"],
+            servers=storm["servers"],
+            plan=[
+                {
+                    "what": item.what,
+                    "at": item.at,
+                    "lasts": item.lasts,
+                    "hosts": item.hosts,
+                    "to": item.to,
+                    "size": item.size,
+                    "part": item.part,
+                }
+                for item in self.schedule
+            ],
+        )
+        for number in range(1, storm["hosts"] + 1):
+            host = Host(self, number)
+            self.hosts[host.name] = host
+            await host.list.start(f"127.0.{self.block}.200")
+            host.relays["list"] = TcpRelay(
+                self.network, host.name, "list", _address(host.list.address), _Told(host.name, self.history)
+            )
+        for name in self.scenario.servers:
+            await self._add_server(name, cold=False)
+        late = {name for item in self.schedule if item.what == "late" for name in item.hosts}
+        self.spawn(self._measure_lag())
+        for host in self.hosts.values():
+            host.write()
+            self.spawn(host.look())
+            if host.name not in late:
+                host.start()
+            else:
+                host.there = False
+        try:
+            async with asyncio.timeout(READY_WITHIN_S):
+                while any(host.there and host.ready < host.wanted for host in self.hosts.values()):
+                    self._check()
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            said = [event["line"] for event in self.history.events if event["kind"] == "said"][-3:]
+            raise CannotPlay(f"the daemons did not become ready: {' / '.join(said)}") from None
+        for host in self.hosts.values():
+            if host.state.exists():
+                shutil.copytree(host.state, host.folder / "state.first", dirs_exist_ok=True)
+
+    async def _add_server(self, name: str, cold: bool) -> None:
+        server = self.servers[name] = _Server(name, self)
+        await server.start(f"127.0.{self.block}.{100 + len(self.servers)}")
+        for host in self.hosts.values():
+            host.relays[name] = TcpRelay(self.network, host.name, name, _address(server.address))
+        if cold:
+            server.is_cold()
+        self._tell(name, "ready", cold)
+
+    def _tell(self, name: str, phase: str, cold: bool = False) -> None:
+        """Have the list say so of this server, to each host with the address of its own relay."""
+        known = self._phases.setdefault(name, {})
+        known["phase"] = phase
+        if cold:
+            known["up_since_ms"] = int(time.time() * 1000)
+        for host in self.hosts.values():
+            host.list.change({**member(name, host._place(name)), **known})
+
+    async def _measure_lag(self) -> None:
+        """How late the rig's own loop is: a busy rig would be taken for a slow program."""
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(LAG_EVERY_S)
+            late = time.monotonic() - before - LAG_EVERY_S
+            self.lags.append(late)
+            if late * 1e3 > LAG_TOLD_MS:
+                self.history.add("lag", ms=round(late * 1e3, 1))
+
+    def _check(self) -> None:
+        if self.failed:
+            raise CannotPlay(self.failed)
+
+    # The storm
+
+    async def _storm(self, show: Callable[[str], None]) -> None:
+        for host in self.hosts.values():
+            host.crowd = _Crowd(host)
+        began = time.monotonic()
+        self.history.add("load", hosts=[host.name for host in self.hosts.values()])
+        for number, item in enumerate(self.schedule):
+            self.spawn(self._one(number, item, began, show))
+        seconds = self.scenario.storm["seconds"]
+        while time.monotonic() - began < seconds:
+            self._check()
+            self.history.flush()
+            await asyncio.sleep(0.05)
+        await self._undo(show)
+        await self._settle(show)
+        for host in self.hosts.values():
+            if host.crowd is not None:
+                await host.crowd.finish()
+        await asyncio.gather(*(host.stop() for host in self.hosts.values()))
+        await asyncio.sleep(0)
+        self._check()
+        self.history.add("rig", **self.figures())
+
+    async def _one(self, number: int, item: Planned, began: float, show: Callable[[str], None]) -> None:
+        await asyncio.sleep(max(0.0, began + item.at - time.monotonic()))
+        self.history.add(
+            "fault", number=number, what=item.what, phase="begin", hosts=list(item.hosts), to=list(item.to),
+            size=item.size, words=item.words(),
+        )  # fmt: skip
+        show(f"{time.monotonic() - began:6.2f} s  {item.words()}")
+        self._holding[number] = item
+        await self._begin(item)
+        if not KINDS[item.what].lasts:
+            await self._over(number)
+        elif item.lasts:
+            await asyncio.sleep(max(0.0, began + item.until - time.monotonic()))
+            await self._over(number)
+            show(f"{time.monotonic() - began:6.2f} s  over: {item.words()}")
+
+    async def _undo(self, show: Callable[[str], None]) -> None:
+        """The end of the storm: what still holds is over, but for hosts that died for good."""
+        for number, item in list(self._holding.items()):
+            if item.what in ("kill", "power") and not item.lasts:
+                continue
+            await self._over(number)
+        show(f"{self.scenario.storm['seconds']:6.2f} s  the storm is over")
+
+    async def _over(self, number: int) -> None:
+        item = self._holding.pop(number, None)
+        if item is not None:
+            await self._end(item)
+            self.history.add("fault", number=number, what=item.what, phase="over", hosts=list(item.hosts))
+
+    async def _settle(self, show: Callable[[str], None]) -> None:
+        """Wait until every host that is there is ready and serves again."""
+        expect = self.scenario.expect
+        began = time.monotonic()
+        hosts = [host for host in self.hosts.values() if host.there]
+        wanted = {
+            host.name: len(host.crowd.latencies) + expect["answers"]
+            for host in hosts
+            if host.crowd is not None
+        }
+        if not self.scenario.load["clients"]:
+            wanted = dict.fromkeys(wanted, 0)
+        why = ""
+        while time.monotonic() - began < expect["settle_s"]:
+            self._check()
+            self.history.flush()
+            why = "; ".join(
+                f"{host.name}: {host.ready} of {host.wanted} ready, "
+                f"{len(host.crowd.latencies) if host.crowd else 0} of {wanted[host.name]} answers"
+                for host in hosts
+                if host.ready < host.wanted or (host.crowd and len(host.crowd.latencies) < wanted[host.name])
+            )
+            if not why:
+                break
+            await asyncio.sleep(0.02)
+        waited = round(time.monotonic() - began, 3)
+        self.history.add("settled", ok=not why, waited=waited, why=why)
+        show(f"settled after {waited:.2f} s" if not why else f"not settled: {why}")
+
+    def figures(self) -> dict[str, Any]:
+        """The rig's own: whether it was the bottleneck."""
+        lags = np.array(self.lags or [0.0]) * 1e3
+        return {
+            **self.network.figures(), "lag_p50_ms": round(float(np.percentile(lags, 50)), 2),
+            "lag_p99_ms": round(float(np.percentile(lags, 99)), 2), "lag_max_ms": round(float(lags.max()), 2),
+            "left_out": self.history.left_out, "relay_refused": self.network.refused,
+        }  # fmt: skip
+
+    # Faults
+
+    def _hosts(self, item: Planned) -> list[Host]:
+        return [self.hosts[name] for name in item.hosts if name in self.hosts]
+
+    async def _begin(self, item: Planned) -> None:
+        match item.what:
+            case "kill":
+                for host in self._hosts(item):
+                    host.there = False
+                    await host.kill()
+            case "power":
+                await self._cut_power(item)
+            case "kill-supervisor":
+                for host in self._hosts(item):
+                    for owned in list(host.daemons):
+                        owned.signal(signal.SIGKILL)
+                        await owned.reap()
+            case "kill-instance":
+                for host in self._hosts(item):
+                    await self._kill_instance(host, item.part)
+            case "freeze":
+                for host in self._hosts(item):
+                    host.signal(signal.SIGSTOP)
+            case "starve":
+                for host in self._hosts(item):
+                    host.starve((os.cpu_count() or 1) - host.number % max(1, (os.cpu_count() or 1) - 1) - 1)
+            case "restart":
+                for host in self._hosts(item):
+                    await host.stop()
+                    host.start()
+            case "replace":
+                for host in self._hosts(item):
+                    await self._replace(host)
+            case "reload":
+                for host in self._hosts(item):
+                    host.held += 1
+                    host.write()
+                    with contextlib.suppress(control.Unavailable):
+                        told = await control.ask(host.folder / "c.sock", {"op": "reload"}, 10.0)
+                        self.history.add("reload", host=host.name, ok=bool(told.get("ok")))
+            case "clock-step":
+                for host in self._hosts(item):
+                    host.clock = host.clock.stepped(item.size)
+                    host.clock.write(host.folder)
+            case "clock-fast":
+                for host in self._hosts(item):
+                    host.clock = host.clock.at_rate(1 + item.size / 1e6, time.monotonic_ns())
+                    host.clock.write(host.folder)
+            case "disk-full" | "disk-readonly" | "disk-slow":
+                trouble = disk.Trouble(
+                    item.what == "disk-full",
+                    item.what == "disk-readonly",
+                    item.size / 1e3 if item.what == "disk-slow" else 0,
+                )
+                for host in self._hosts(item):
+                    disk.tell_trouble(host.folder, trouble)
+            case "disk-torn" | "disk-back" | "disk-gone":
+                for host in self._hosts(item):
+                    self._hurt_disk(host, item.what)
+            case "cut" | "one-way" | "ring":
+                self.network.change(item.pairs, cut=True)
+            case "refuse":
+                self.network.change(item.pairs, refuse=True)
+            case "reset":
+                self.network.reset(item.pairs)
+            case "forget":
+                self.network.forget(item.pairs)
+            case "delay":
+                self.network.change(item.pairs, delay=item.size / 1e3, spread=item.size / 1e3)
+            case "narrow":
+                self.network.change(item.pairs, rate=item.size)
+            case "datagrams":
+                self.network.change(item.pairs, loss=item.size, double=item.size / 3, reorder=item.size / 3)
+            case "server-kill":
+                for name in item.to:
+                    self._kill_server(name)
+            case "server-slow" | "server-hang" | "server-fail":
+                mode = {"server-slow": Mode.SLOW, "server-hang": Mode.HUNG, "server-fail": Mode.FAILING}[
+                    item.what
+                ]
+                for name in item.to:
+                    self.servers[name].slower = item.size or 10.0
+                    self.servers[name].mode = mode
+            case "server-drain":
+                for name in item.to:
+                    self._tell(name, "draining")
+            case "server-new":
+                for name in item.to:
+                    await self._add_server(name, cold=True)
+            case "list-down":
+                self._list_down()
+
+    async def _end(self, item: Planned) -> None:
+        match item.what:
+            case "kill" | "late" | "kill-supervisor":
+                for host in self._hosts(item):
+                    host.there = True
+                    host.start()
+            case "power":
+                await self._power_back(item)
+            case "freeze":
+                for host in self._hosts(item):
+                    host.signal(signal.SIGCONT)
+            case "starve":
+                for host in self._hosts(item):
+                    await host.feed()
+            case "clock-fast":
+                for host in self._hosts(item):
+                    host.clock = host.clock.at_rate(1.0, time.monotonic_ns())
+                    host.clock.write(host.folder)
+            case "disk-full" | "disk-readonly" | "disk-slow":
+                for host in self._hosts(item):
+                    disk.tell_trouble(host.folder, disk.Trouble())
+            case "cut" | "one-way" | "ring":
+                self.network.change(item.pairs, cut=False)
+            case "refuse":
+                self.network.change(item.pairs, refuse=False)
+            case "delay":
+                self.network.change(item.pairs, delay=0.0, spread=0.0)
+            case "narrow":
+                self.network.change(item.pairs, rate=0.0)
+            case "datagrams":
+                self.network.change(item.pairs, loss=0.0, double=0.0, reorder=0.0)
+            case "server-kill":
+                for name in item.to:
+                    await self._start_server(name)
+            case "server-slow" | "server-hang" | "server-fail":
+                for name in item.to:
+                    self.servers[name].mode = Mode.WELL
+            case "list-down":
+                await self._list_up()
+
+    async def _cut_power(self, item: Planned) -> None:
+        """All of it in one instant; then the disks are put to what a power cut leaves."""
+        hosts = self._hosts(item)
+        for name in item.to:
+            if name in self.servers:
+                self._kill_server(name)
+        if "list" in item.to:
+            self._list_down()
+        for host in hosts:
+            host.there = False
+        every = len(hosts) == len(self.hosts)
+        for mark in [self.mark] if every else [host.mark for host in hosts]:
+            signal_all(mark, signal.SIGKILL)
+        await asyncio.gather(*(host.kill() for host in hosts))
+        for host in hosts:
+            left = await asyncio.to_thread(disk.cut_power, host.folder, self.rng)
+            self.history.add(
+                "disk", host=host.name, files=len(left.files), gone=len(left.known) - len(left.files),
+                broken=[Path(path).name for path in left.broken],
+            )  # fmt: skip
+
+    async def _power_back(self, item: Planned) -> None:
+        if "list" in item.to:
+            await self._list_up()
+        for name in item.to:
+            if name in self.servers:
+                await self._start_server(name)
+        for host in self._hosts(item):
+            host.there = True
+            host.start()
+
+    async def _kill_instance(self, host: Host, part: int) -> None:
+        with contextlib.suppress(control.Unavailable, OSError):
+            instances = await host.status()
+            pid = instances[part]["pid"] if part < len(instances) else None
+            handle = open_process(pid) if pid else None
+            if handle is not None:
+                send_signal(handle, signal.SIGKILL)
+                os.close(handle)
+
+    async def _replace(self, host: Host) -> None:
+        """The next program takes over; if it does not, the one before goes on."""
+        before = list(host.daemons)
+        for owned in before:
+            owned.asked = True  # type: ignore[attr-defined]
+        fresh = host.start("--replace")
+        ends = [asyncio.create_task(owned.ended.wait()) for owned in [*before, fresh]]
+        await asyncio.wait(ends, timeout=END_WITHIN_S, return_when=asyncio.FIRST_COMPLETED)
+        for task in ends:
+            task.cancel()
+
+    def _hurt_disk(self, host: Host, what: str) -> None:
+        if what == "disk-gone":
+            shutil.rmtree(host.state, ignore_errors=True)
+        elif what == "disk-back" and (host.folder / "state.first").exists():
+            shutil.rmtree(host.state, ignore_errors=True)
+            shutil.copytree(host.folder / "state.first", host.state)
+        elif what == "disk-torn" and host.state.exists():
+            for path in host.state.iterdir():
+                data = path.read_bytes()
+                path.write_bytes(data[: int(self.rng.integers(0, len(data) + 1))])
+        (host.folder / disk.LOG).write_bytes(b"")
+
+    def _kill_server(self, name: str) -> None:
+        server = self.servers[name]
+        server.gone = True
+        server.stop()
+        for host in self.hosts.values():
+            host.relays[name].serve(False)
+
+    async def _start_server(self, name: str) -> None:
+        before = self.servers[name]
+        server = self.servers[name] = _Server(name, self)
+        await server.start(before.address.partition(":")[0])
+        for host in self.hosts.values():
+            host.relays[name].target = _address(server.address)
+            host.relays[name].serve(True)
+        server.is_cold()
+        self._tell(name, self._phases[name]["phase"], cold=True)
+
+    def _list_down(self) -> None:
+        for host in self.hosts.values():
+            host.relays["list"].serve(False)
+            host.list.stop()
+
+    async def _list_up(self) -> None:
+        for host in self.hosts.values():
+            await host.list.start(f"127.0.{self.block}.200")
+            host.relays["list"].target = _address(host.list.address)
+            host.relays["list"].serve(True)
+
+    # Down
+
+    async def _take_down(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        for host in self.hosts.values():
+            if host.crowd is not None:
+                with contextlib.suppress(Exception):
+                    await host.crowd.stop()
+        if not await asyncio.to_thread(kill_all, self.mark):
+            self.failed = self.failed or "processes were left behind"
+        self.network.close()
+        for host in self.hosts.values():
+            host.list.stop()
+        for server in self.servers.values():
+            server.gone = True
+            server.stop()
+        self.history.flush()
+
+
+def _address(told: str) -> tuple[str, int]:
+    host, _, port = told.rpartition(":")
+    return host, int(port)
+
+
+def claim_block(seed: int) -> tuple[int, socket.socket]:
+    """A block of loopback addresses that no other storm on this machine has, held by a socket: the kernel
+    drops the claim with the process. Raises CannotPlay."""
+    first = (seed * 7 + os.getpid()) % len(BLOCKS)
+    for step in range(len(BLOCKS)):
+        block = BLOCKS[(first + step) % len(BLOCKS)]
+        sock = socket.socket()
+        try:
+            sock.bind((f"127.0.{block}.254", CLAIM_PORT))
+            sock.listen(1)
+            return block, sock
+        except OSError:
+            sock.close()
+    raise CannotPlay("no block of loopback addresses is free")
--- /dev/null
+++ b/tests/storm/test_checkers.py
@@ -0,0 +1,115 @@
+"""Each checker finds what it is for in a made-up history, and excuses only what it says."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from sorrelfront.lab.storm.checkers import CHECKERS, judge
+from sorrelfront.lab.storm.history import Event
+
+
+def history(*rows: tuple[float, str, dict[str, Any]]) -> list[Event]:
+    head: list[Event] = [{"t": 0.0, "kind": "storm", "deadline_ms": 1000.0, "hosts": ["h1", "h2"]}]
+    rest = [{"t": t, "kind": kind, **what} for t, kind, what in sorted(rows, key=lambda row: row[0])]
+    return [*head, *rest, {"t": 99.0, "kind": "settled", "ok": True, "why": ""}]
+
+
+def ask(t: float, call: str, host: str = "h1", cls: str = "pay") -> tuple[float, str, dict[str, Any]]:
+    return t, "ask", {"call": call, "host": host, "class": cls}
+
+
+def told(
+    t: float, call: str, status: str = "200", ms: float = 10.0, host: str = "h1"
+) -> tuple[float, str, dict[str, Any]]:
+    return t, "answer", {"call": call, "host": host, "status": status, "ms": ms, "class": "pay"}
+
+
+def fault(
+    t: float, what: str, phase: str = "begin", host: str = "h1", number: int = 1
+) -> tuple[float, str, dict[str, Any]]:
+    return t, "fault", {"what": what, "phase": phase, "hosts": [host], "number": number}
+
+
+def broken(events: list[Event]) -> set[str]:
+    return {name for name, found in judge(events).items() if found}
+
+
+def test_a_calm_history_breaks_nothing() -> None:
+    assert broken(history(ask(1, "a"), told(1.01, "a"))) == set()
+    assert set(judge([])) == set(CHECKERS)
+
+
+def test_an_answer_that_is_lost_doubled_or_missing() -> None:
+    assert broken(history(ask(1, "a"), told(2, "a", "lost"))) == {"answered"}
+    assert broken(history(ask(1, "a"), told(2, "a"), told(3, "a"))) == {"answered"}
+    assert broken(history(ask(1, "a"))) == {"answered"}
+    # the kernel says that none had read it
+    assert broken(history(ask(1, "a"), told(2, "a", "reset"))) == set()
+
+
+def test_what_a_killed_host_held_is_excused_and_what_another_held_is_not() -> None:
+    ready = (6.0, "ready", {"host": "h1", "ready": 2, "wanted": 2})
+    kill = (fault(1.5, "kill"), fault(3, "kill", "over"), ready)
+    assert broken(history(ask(1, "a"), told(1.6, "a", "lost"), *kill)) == set()
+    assert broken(history(ask(1, "a", "h2"), told(1.6, "a", "lost", host="h2"), *kill)) == {"answered"}
+    assert broken(history(ask(7, "a"), told(7.5, "a", "lost"), *kill)) == {"answered"}
+    one = fault(1.5, "kill-instance"), fault(1.6, "kill-instance", "over")
+    assert broken(history(ask(1.4, "a"), told(1.7, "a", "lost"), *one)) == set()
+    assert broken(history(ask(2.5, "a"), told(2.7, "a", "lost"), *one)) == {"answered"}
+
+
+def test_an_answer_out_of_time_unless_frozen_or_the_rig_itself_was_late() -> None:
+    late = ask(1, "a"), told(2.7, "a", ms=1_700.0)
+    assert broken(history(*late)) == {"in-time"}
+    assert broken(history(*late, fault(1.2, "freeze"), fault(2.5, "freeze", "over"))) == set()
+    assert broken(history(*late, (2.6, "lag", {"ms": 300.0}))) == set()
+    assert broken(history(*late, fault(1.2, "cut"), fault(2.5, "cut", "over"))) == {"in-time"}
+
+
+def test_an_effect_that_happens_twice_and_a_refusal_of_what_ran() -> None:
+    ran = {"key": "a", "call": "a", "server": "s1", "class": "pay"}
+    assert broken(history(ask(1, "a"), told(2, "a"), (1.1, "effect", ran), (1.2, "effect", ran))) == {"once"}
+    refused = ask(1, "a"), told(2, "a", "503"), (1.1, "effect", ran)
+    assert broken(history(*refused)) == {"refusals"}
+    assert broken(history(ask(1, "a"), told(2, "a", "502"), (1.1, "effect", ran))) == set()
+
+
+def test_a_request_sent_to_a_server_that_drains() -> None:
+    drains = (1.0, "told", {"host": "h1", "server": "s1", "phase": "draining"})
+
+    def sent(at: float, host: str = "h1") -> tuple[float, str, dict[str, Any]]:
+        return at + 0.01, "arrive", {"host": host, "server": "s1", "sent": at, "call": "a"}
+
+    assert broken(history(drains, sent(1.5))) == set()
+    assert broken(history(drains, sent(1.6))) == {"drains"}
+    assert broken(history(drains, sent(1.6, "h2"))) == set()  # that host was told nothing
+    ready = (1.2, "told", {"host": "h1", "server": "s1", "phase": "ready"})
+    assert broken(history(drains, ready, sent(1.6))) == set()
+    assert broken(history(drains, sent(1.9), fault(1.1, "freeze"), fault(1.8, "freeze", "over"))) == set()
+
+
+def test_a_cold_server_that_all_hosts_together_push_over() -> None:
+    row = {"server": "s1", "capacity": 100.0, "from": 0.3, "multiple": 3.0, "span_s": 1.0, "cold_s": 9.0}
+    some = [
+        (1 + number / 100, "arrive", {"host": "h1", "server": "s1", "sent": 1.0, "call": ""})
+        for number in range(60)
+    ]
+    more = [
+        (1 + number / 100, "arrive", {"host": "h2", "server": "s1", "sent": 1.0, "call": ""})
+        for number in range(60)
+    ]
+    assert broken(history((0.9, "cold", row), *some)) == set()
+    assert broken(history((0.9, "cold", row), *some, *more)) == {"cold"}
+
+
+def test_ends_logs_records_and_settling() -> None:
+    assert broken(history((1, "end", {"host": "h1", "code": 1, "asked": True}))) == {"exits"}
+    assert broken(history((1, "end", {"host": "h1", "code": -9, "asked": False}))) == set()
+    assert broken(history((1, "said", {"host": "h1", "line": "Traceback (most recent call last):"}))) == {
+        "exits"
+    }
+    torn = (2, "said", {"host": "h1", "line": "x/fleet is not used: its checksum is wrong; set aside"})
+    assert broken(history(torn)) == {"records"}
+    assert broken(history(fault(1, "disk-torn"), torn)) == set()
+    assert broken(history((1, "disk", {"host": "h1", "broken": ["fleet"]}))) == {"records"}
+    assert broken(history()[:-1]) == {"settled"}
--- /dev/null
+++ b/tests/storm/test_processes.py
@@ -0,0 +1,165 @@
+"""Whatever a storm started is ended, however the rig itself ends."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import time
+import uuid
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from sorrelfront.lab.http1 import PATIENCE_S
+from sorrelfront.lab.storm.processes import MARK, Owned, kill_all, marked, signal_all
+from sorrelfront.lab.storm.stage import claim_block
+from tests.loopback import looped, until
+from tests.test_process import ROOT
+
+STORM_RUN = [sys.executable, "-m", "sorrelfront.cli.main", "storm", "run"]
+SLEEPER = [sys.executable, "-c", "import time; print('up', flush=True); time.sleep(60)"]
+
+
+@contextlib.asynccontextmanager
+async def owned(words: list[str], mark: str) -> AsyncIterator[Owned]:
+    made = Owned(words, {**os.environ, MARK: mark}, ROOT, 2)
+    try:
+        yield made
+    finally:
+        kill_all(mark)
+        await made.reap()
+
+
+@looped
+async def test_a_frozen_process_is_still_there_and_is_ended() -> None:
+    mark = uuid.uuid4().hex
+    async with owned(SLEEPER, mark) as process:
+        await until(lambda: process.pid in marked(mark))
+        process.signal(signal.SIGSTOP)
+        assert await process.reap(0.1) is None  # its pidfd says nothing while it is frozen
+        assert process.pid in marked(mark)
+        assert kill_all(mark)
+        assert await process.reap() == -signal.SIGKILL
+        assert not marked(mark)
+
+
+@looped
+async def test_one_that_ends_before_the_first_look() -> None:
+    async with owned([sys.executable, "-c", "raise SystemExit(7)"], uuid.uuid4().hex) as process:
+        assert await process.reap(PATIENCE_S) == 7
+        process.signal(signal.SIGKILL)  # names nobody any more
+        assert process.pidfd == -1
+
+
+@looped
+async def test_children_carry_the_mark_and_one_that_begins_alike_does_not_count() -> None:
+    mark = uuid.uuid4().hex
+    child = f"import subprocess, time; subprocess.Popen({SLEEPER}); time.sleep(60)"
+    async with (
+        owned([sys.executable, "-c", child], f"{mark}/h1") as process,
+        owned(SLEEPER, f"{mark}/h11") as other,
+    ):
+        await until(lambda: len(marked(f"{mark}/h1")) == 2)
+        await until(lambda: len(marked(mark)) == 3)
+        process.signal(signal.SIGKILL)
+        await process.reap()
+        assert len(marked(f"{mark}/h1")) == 1  # its parent is gone, and it is still found
+        assert kill_all(f"{mark}/h1")
+        assert list(marked(mark)) == [other.pid]
+
+
+@looped
+async def test_a_number_that_has_passed_to_another_is_not_signalled(monkeypatch: pytest.MonkeyPatch) -> None:
+    mark = uuid.uuid4().hex
+    async with owned(SLEEPER, mark) as process:
+        await until(lambda: process.pid in marked(mark))
+        from sorrelfront.lab.storm import processes
+
+        # As if the number had passed to a process that started at another time since the look.
+        monkeypatch.setattr(processes, "marked", lambda _: {process.pid: 1})
+        assert signal_all(mark, signal.SIGKILL) == 0
+        assert await process.reap(0.1) is None
+
+
+STORM = """
+[storm]
+name = "long"
+seconds = 60
+hosts = 2
+instances = 1
+servers = 2
+[load]
+clients = 2
+"""
+
+
+@pytest.mark.parametrize("how", [signal.SIGTERM, signal.SIGINT, signal.SIGKILL])
+def test_nothing_is_left_when_the_rig_is_ended(how: signal.Signals, tmp_path: Path) -> None:
+    """Its children are looked for by an environment that only they have."""
+    path, word = tmp_path / "long.toml", f"SORRELFRONT_TEST={uuid.uuid4().hex}"
+    path.write_text(STORM)
+    name, _, value = word.partition("=")
+    rig = subprocess.Popen(
+        [*STORM_RUN, str(path), "--keep", str(tmp_path / "kept")],
+        cwd=ROOT, env={**os.environ, name: value}, stderr=subprocess.PIPE, stdout=subprocess.DEVNULL,
+    )  # fmt: skip
+    try:
+        _until(lambda: b'"kind":"load"' in _content(tmp_path / "kept" / "history.jsonl"))
+        assert len(_with(word)) >= 6  # the rig, its keeper, two daemons, two instances
+        rig.send_signal(how)
+        rig.wait(PATIENCE_S)
+        _until(lambda: not _with(word))
+    finally:
+        for pid in _with(word):
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(pid, signal.SIGKILL)
+        rig.wait()
+        assert rig.stderr is not None
+        rig.stderr.close()
+
+
+def _content(path: Path) -> bytes:
+    return path.read_bytes() if path.exists() else b""
+
+
+def _until(condition: object) -> None:
+    assert callable(condition)
+    end = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < end
+        time.sleep(0.05)
+
+
+def _with(word: str) -> list[int]:
+    """Processes, other than those that have ended, with this word in their environment."""
+    found = []
+    for entry in os.scandir("/proc"):
+        with contextlib.suppress(OSError):
+            if entry.name.isdigit() and word.encode() in Path(f"/proc/{entry.name}/environ").read_bytes():
+                found.append(int(entry.name))
+    return found
+
+
+def test_two_storms_have_no_address_in_common() -> None:
+    blocks = [claim_block(1) for _ in range(5)]
+    try:
+        assert len({block for block, _ in blocks}) == 5
+    finally:
+        for _, sock in blocks:
+            sock.close()
+    first, sock = claim_block(1)
+    sock.close()
+    assert first in {block for block, _ in blocks}  # given back with the process
+
+
+def test_a_loop_that_never_ran_leaves_nothing(tmp_path: Path) -> None:
+    """A storm whose file cannot be read starts nothing."""
+    done = subprocess.run(
+        [*STORM_RUN, str(tmp_path / "none.toml")],
+        cwd=ROOT, capture_output=True, timeout=PATIENCE_S,
+    )  # fmt: skip
+    assert done.returncode == 2 and b"No such file" in done.stderr
--- /dev/null
+++ b/tests/storm/test_scenario.py
@@ -0,0 +1,155 @@
+"""Storms' files: checked whole, and the same faults for the same seed."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sorrelfront.daemon.configuration import BadDocument
+from sorrelfront.lab.storm.run import listed
+from sorrelfront.lab.storm.scenario import KINDS, parse, read
+
+PLACE = Path("x.toml")
+HEAD = "[storm]\nname = 'x'\nseconds = 8\nhosts = 3\n"
+
+
+def faults(text: str) -> list[str]:
+    with pytest.raises(BadDocument) as bad:
+        parse((HEAD + text).encode(), PLACE)
+    return bad.value.lines()
+
+
+def test_every_fault_of_a_file_is_named_at_once() -> None:
+    said = "\n".join(
+        faults(
+            """
+[load]
+clinets = 3
+[[faults]]
+what = "kil"
+at = 1
+[[faults]]
+what = "freeze"
+at = 1
+hosts = ["h9"]
+[[faults]]
+what = "freeze"
+at = 7
+lasts = 2
+[[faults]]
+what = "reset"
+at = 7
+lasts = 1
+to = ["list"]
+[[faults]]
+what = "cut"
+at = 2
+[[faults]]
+what = "clock-step"
+at = 2
+[nonsense]
+"""
+        )
+    )
+    for wanted in (
+        "[load] clinets: is not a key known here; the nearest is 'clients'",
+        "nonsense: is not a key known here",
+    ):
+        assert wanted in said
+    more = "\n".join(
+        faults(
+            """
+[[faults]]
+what = "kil"
+at = 1
+[[faults]]
+what = "freeze"
+at = 1
+hosts = ["h9"]
+[[faults]]
+what = "freeze"
+at = 7
+lasts = 2
+[[faults]]
+what = "reset"
+at = 7
+lasts = 1
+to = ["list"]
+[[faults]]
+what = "cut"
+at = 2
+[[faults]]
+what = "clock-step"
+at = 2
+[[faults]]
+what = "late"
+at = 2
+[[faults]]
+what = "kill-instance"
+at = 2
+part = 5
+"""
+        )
+    )
+    for wanted in (
+        "[faults.1] kil: is not a key known here; the nearest is 'kill'",
+        "[faults.2] h9: is not a key known here",
+        "[faults.3] at: goes on after the end at 8 s",
+        "[faults.4] lasts: does not go with 'reset'",
+        "[faults.5] to: is missing",
+        "[faults.6] size: is missing",
+        "[faults.7] at: must be 0",
+        "[faults.8] part: there are 2 instances",
+    ):
+        assert wanted in more, wanted
+
+
+def test_faults_that_overlap_on_one_link_or_host_are_refused() -> None:
+    row = '[[faults]]\nwhat = "{}"\nat = {}\nlasts = 2\nhosts = ["h1"]\n{}\n'
+    cut, slow = row.format("cut", 1, 'to = ["s1", "s2"]'), row.format("delay", 2, 'to = ["s2"]\nsize = 5')
+    assert "[faults.2] at: overlaps with [faults.1] on link:h1>s2" in faults(cut + slow)[0]
+    frozen, killed = row.format("freeze", 1, ""), row.format("kill", 3, "")
+    assert "overlaps with [faults.1] on process:h1" in faults(frozen + killed)[0]
+    # other links, and the host
+    parse((HEAD + cut + row.format("cut", 1, 'to = ["s3"]') + frozen).encode(), PLACE)
+
+
+def test_bytes_of_any_kind_are_refused_or_taken() -> None:
+    @given(st.binary(max_size=200))
+    def check(data: bytes) -> None:
+        try:
+            parse(data, PLACE)
+        except BadDocument as bad:
+            assert bad.lines()
+
+    check()
+
+
+def test_a_seed_always_draws_the_same_and_never_an_overlap() -> None:
+    drawn = next(path for path in listed() if path.stem == "drawn")
+    made = read(drawn)
+    seen = set()
+    for seed in range(300):
+        plan = made.schedule(seed)
+        assert plan == read(drawn).schedule(seed)
+        seen |= {item.what for item in plan}
+        for at, item in enumerate(plan):
+            assert item.until <= made.storm["seconds"]
+            assert not any(
+                item.targets & other.targets and item.at <= other.until and other.at <= item.until
+                for other in plan[:at]
+            )
+    assert seen == set(made.draw["kinds"] if made.draw else ())
+
+
+def test_the_storms_that_come_with_the_program_are_sound() -> None:
+    names = {path.stem for path in listed()}
+    assert names >= {"calm", "host-dies", "cut-from-servers", "cut-from-list", "cut-from-both", "slow-host",
+                     "rolling-restart", "power", "drawn"}  # fmt: skip
+    for path in listed():
+        made = read(path)
+        assert made.storm["name"] == path.stem
+        assert all(item.what in KINDS and item.words() for item in made.schedule(1))
