--- /dev/null
+++ b/benchmarks/fleets.py
@@ -0,0 +1,150 @@
+"""The view between real processes: how soon a crash is known, what it costs, and what it does to service.
+
+    python -m benchmarks.fleets crash --hosts 2 --instances 4 [--plays 3]
+    python -m benchmarks.fleets cpu --hosts 16 --instances 4 [--seconds 20]
+    python -m benchmarks.fleets service [--pairs 5]
+
+`crash`: probes once a second, one host of `--instances` members is killed; the time until the first view
+without each of them, and until no view has any. Views are asked for every quarter of a second, so that much
+is added at most. `cpu`: processor time of the instances at rest, with the view and without it, in turn.
+`service`: the storm `calm` with the view and without it, in turn. The cores to itself. """
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import statistics
+from pathlib import Path
+from typing import Any
+
+from sorrelfront.lab.storm.history import Event, History
+from sorrelfront.lab.storm.processes import marked
+from sorrelfront.lab.storm.run import play, verdict_of
+from sorrelfront.lab.storm.scenario import Scenario, parse
+from sorrelfront.lab.storm.stage import Stage
+
+TEXT = """
+[storm]
+name = "{name}"
+seconds = {seconds}
+hosts = {hosts}
+instances = {instances}
+servers = {servers}
+fleet = {fleet}
+probe_ms = 1000
+[load]
+clients = {clients}
+pause_ms = 30
+[expect]
+settle_s = 200
+answers = 0
+[void]
+lag_ms = 10000
+relay_us = 1000000
+"""
+TICK_S = 1 / os.sysconf("SC_CLK_TCK")
+
+
+def scenario(faults: str = "", **words: Any) -> Scenario:
+    told = {"name": "bench", "hosts": 3, "instances": 4, "servers": 2, "fleet": "true", "clients": 0, **words}
+    return parse((TEXT.format(**told) + faults).encode(), Path("bench.toml"))
+
+
+def crash(hosts: int, instances: int, plays: int) -> None:
+    fault = '[[faults]]\nwhat = "kill"\nat = 3.0\nhosts = ["h2"]\n'
+    found = []
+    for seed in range(plays):
+        made = scenario(fault, hosts=hosts, instances=instances, seconds=4.0)
+        history = History()
+        asyncio.run(Stage(made, seed, history).play())
+        found.append(_detected(history.events, instances))
+        settled = verdict_of(history.events, made, seed)["rules"]["views"]["breaches"] == 0
+        print(json.dumps({"members": hosts * instances, "play": seed, **found[-1], "settled": settled}))
+    print(json.dumps({key: statistics.median(item[key] for item in found) for key in found[0]}))
+
+
+def _detected(events: list[Event], instances: int) -> dict[str, float]:
+    """Seconds from the crash of h2: to the first view without one of its members, and until all are without all."""
+    at = next(event["t"] for event in events if event["kind"] == "fault" and event["phase"] == "begin")
+    dead = {f"h2/i{number}" for number in range(instances)}
+    later = [
+        event for event in events if event["kind"] == "view" and event["t"] > at and event["host"] != "h2"
+    ]
+    first = min(event["t"] for event in later if dead - set(event["living"]))
+    last = max(
+        min(item["t"] for item in later if item["member"] == name and not dead & set(item["living"]))
+        for name in {event["member"] for event in later}
+    )
+    return {"first_s": round(first - at, 2), "all_s": round(last - at, 2)}
+
+
+class _Rest(Stage):
+    """A storm in which nothing happens, and the processor time of its processes over the last part of it."""
+
+    share = 0.0
+
+    async def _storm(self, show: Any) -> None:
+        for task in list(self._tasks):
+            if "follow_views" in repr(task) or "look" in repr(task):
+                task.cancel()  # questions cost the instances time as well
+        await asyncio.sleep(5.0)
+        before = _spent(self.mark)
+        seconds = self.scenario.storm["seconds"] - 5.0
+        await asyncio.sleep(seconds)
+        after = _spent(self.mark)
+        shares = [(after[pid] - before[pid]) / seconds for pid in after if pid in before]
+        self.share = sum(shares) / len(shares)
+        self.history.add("rig", **self.figures())
+
+
+def _spent(mark: str) -> dict[int, float]:
+    """Processor seconds of each instance that carries the mark."""
+    found = {}
+    for pid in marked(mark):
+        words = Path(f"/proc/{pid}/cmdline").read_bytes()
+        if b"sorrelfront.daemon.instance" in words:
+            fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+            found[pid] = (int(fields[11]) + int(fields[12])) * TICK_S
+    return found
+
+
+def cpu(hosts: int, instances: int, seconds: float) -> None:
+    for fleet in ("false", "true", "false", "true"):
+        made = scenario(hosts=hosts, instances=instances, seconds=seconds + 5.0, fleet=fleet)
+        stage = _Rest(made, 1, History())
+        asyncio.run(stage.play())
+        share = round(100 * stage.share, 3)
+        print(json.dumps({"members": hosts * instances, "fleet": fleet, "core_percent": share}))
+
+
+def service(pairs: int) -> None:
+    for pair in range(pairs):
+        for fleet in ("false", "true") if pair % 2 else ("true", "false"):
+            made = scenario(name="calm", clients=16, servers=9, seconds=12.0, fleet=fleet)
+            figures = play(made, pair)["figures"]
+            kept = {key: figures[key] for key in ("asked", "served", "refused", "failed", "p50_ms", "p99_ms")}
+            print(json.dumps({"pair": pair, "fleet": fleet, **kept}))
+
+
+def main() -> None:
+    raw = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=raw)
+    parser.add_argument("word", choices=("crash", "cpu", "service"))
+    parser.add_argument("--hosts", type=int, default=2)
+    parser.add_argument("--instances", type=int, default=4)
+    parser.add_argument("--plays", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--pairs", type=int, default=5)
+    told = parser.parse_args()
+    if told.word == "crash":
+        crash(told.hosts, told.instances, told.plays)
+    elif told.word == "cpu":
+        cpu(told.hosts, told.instances, told.seconds)
+    else:
+        service(told.pairs)
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -19,11 +19,13 @@
 import tempfile
 from collections import Counter
 from collections.abc import Callable
+from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
 from sorrelfront.agent import Clock
 from sorrelfront.decisions import places
+from sorrelfront.decisions.fleet.seats import places as view_places
 from sorrelfront.decisions.interface import State
 from sorrelfront.decisions.membership import Answering
 from sorrelfront.lab.demo import Demo, Step
@@ -38,6 +40,7 @@
 
 PATH = "/services/bench"
 SERVERS = 30
+SETS = 200  # of names, that means are taken over
 SESSION_S = 2.0
 
 # Cases: what happens to the servers in both runs, and what happens to the service in one
@@ -309,9 +312,33 @@
         "least instances at a server, seated": min(load.get(at, 0) for at in range(size)),
         "even": count * wanted / size,
         "gaps of an even share, least and most": [round(gap, 2) for gap in places.gaps(range(count))],
+        **by_view(size, wanted, count),
     }
 
 
+def by_view(size: int, wanted: int, count: int) -> dict[str, Any]:
+    """The same by the places that members work out from their views; means over 200 sets of names."""
+    joins, leaves, most, least, gaps = 0, 0, 0.0, 0.0, []
+    for draw in range(SETS):
+        names = [f"{draw}/i{number}" for number in range(count + 1)]
+        now, more, less = (view_places(names[:many]) for many in (count, count + 1, count - 1))
+        joins += changed([now[name] for name in now], [more[name] for name in now], size, wanted)
+        leaves += changed([now[name] for name in less], [less[name] for name in less], size, wanted)
+        begins = [point * size // places.POINTS for point in now.values()]
+        load = Counter((begin + step) % size for begin in begins for step in range(wanted))
+        most += max(load.values()) / SETS
+        least += min(load.get(at, 0) for at in range(size)) / SETS
+        points = sorted(now.values())
+        ring = [*points, points[0] + places.POINTS]
+        gaps += [(b - a) * count / places.POINTS for a, b in pairwise(ring)]
+    return {
+        "by the view, one joins": round(joins / SETS, 1), "by the view, one leaves": round(leaves / SETS, 1),
+        "most instances at a server, by the view": round(most, 2),
+        "least instances at a server, by the view": round(least, 2),
+        "gaps of an even share by the view, least and most": [round(min(gaps), 2), round(max(gaps), 2)],
+    }  # fmt: skip
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("what", choices=("cases", "asked", "seats"))
--- a/sorrelfront/daemon/configuration.py
+++ b/sorrelfront/daemon/configuration.py
@@ -216,6 +216,8 @@
     exchange_ms: Annotated[float, Meta(ge=100, le=3_600_000)] = 30_000.0
     recall_ms: Annotated[float, Meta(ge=50, le=3_600_000)] = 2_000.0
     keep_ms: Annotated[float, Meta(ge=1_000, le=86_400_000)] = 3_600_000.0
+    seats: bool = False  # slices of the servers begin where the view says
+    rest_ms: Annotated[float, Meta(ge=100, le=3_600_000)] = 5_000.0  # without a change, before one moves
 
 
 TOP = ("daemon", "log", "listeners", "classes", "limits", "rules", "membership", "fleet")
@@ -444,6 +446,8 @@
     if not fleet["key_file"] and not loopback:
         # Risk: whoever reaches the port would be believed.
         checker.fault("fleet", "key_file", "is missing: without one only loopback addresses will do")
+    if fleet["seats"] and document.membership["fleet"]:
+        checker.fault("fleet", "seats", "does not go with [membership] fleet, which says the same")
     if fleet["answer_ms"] >= fleet["probe_ms"]:
         checker.fault("fleet", "answer_ms", "must be below probe_ms: others are asked in the time between")
     listen, ours = parse_address(fleet["listen"]), document.listeners.values()
--- a/sorrelfront/daemon/fellow.py
+++ b/sorrelfront/daemon/fellow.py
@@ -34,6 +34,7 @@
 
     def __init__(self, table: dict[str, Any]) -> None:
         """Raises BadConfig."""
+        from sorrelfront.decisions.fleet.seats import Seat
         from sorrelfront.fleet.envelope import BadKey
         from sorrelfront.fleet.member import Member
 
@@ -44,6 +45,7 @@
             self._member = Member(table, first, _version(), self._keep)
         except BadKey as bad:
             raise BadConfig(f"fleet.key_file: {bad}") from None
+        self._seat = Seat(table["member"], int(table["rest_ms"] * 1_000))
         self._member.start()
 
     def _keep(self, incarnation: int) -> None:
@@ -61,6 +63,14 @@
         except BadKey as bad:
             raise BadConfig(f"fleet.key_file: {bad}") from None
 
+    def seat(self) -> int | None:
+        """Where this instance's slice of the servers is to begin from now on, on a ring of `places.POINTS`;
+        None if nothing changes. Call now and then."""
+        if not self._member.table["seats"]:
+            return None
+        view = self._member.carrier.view
+        return self._seat.on_view(view.alive(), view.now)
+
     def told(self, after: int) -> dict[str, Any]:
         """For `ctl members`: all members, and events after this number."""
         carrier = self._member.carrier
--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -371,6 +371,9 @@
             figures |= self._ephemeral.figures()
         if self._fellow is not None:
             figures["fleet"] = self._fellow.figures()
+            point = self._fellow.seat()
+            if point is not None:
+                agent.place(point, places.POINTS)
         self.say({"op": "beat", "figures": figures})
         asyncio.get_running_loop().call_later(BEAT_S, self._beat)
 
--- a/sorrelfront/decisions/fleet/view.py
+++ b/sorrelfront/decisions/fleet/view.py
@@ -203,7 +203,8 @@
         self._next_probe_us = self.now + self.random.randrange(self.settings.interval_us)
         self._next_gossip_us = self.now
         self._next_exchange_us = self.now + self._spread_us(self.settings.exchange_us)
-        self._next_recall_us = self.now
+        # Members that start together do not call on the same address at the same instant.
+        self._next_recall_us = self.now + self.random.randrange(1 + self.settings.recall_us // 4)
         self._next_sweep_us = self.now + self.settings.keep_us // 8
         self._suspicions: dict[str, _Suspicion] = {}
         self._rumours: OrderedDict[tuple[str, str], _Rumour] = OrderedDict()
--- a/sorrelfront/lab/storm/scenario.py
+++ b/sorrelfront/lab/storm/scenario.py
@@ -35,6 +35,7 @@
         "replace",
         "reload",
         "rekey",
+        "twin",
         "power",
         "clock-step",
         "clock-fast",
@@ -173,7 +174,7 @@
         if kind.part == "link":
             return {f"{kind.part}:{src}>{dst}" for src, dst in self.pairs}
         if kind.part == "host":
-            apart = self.what.startswith(("clock", "disk", "rekey"))
+            apart = self.what.startswith(("clock", "disk", "rekey", "twin"))
             group = self.what.partition("-")[0] if apart else "process"
             return {f"{group}:{name}" for name in self.hosts}
         return {f"{kind.part}:{name}" for name in self.to or ("list",)}
--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -6,15 +6,16 @@
 import json
 import os
 import re
+import signal
 import subprocess
 import sys
 from pathlib import Path
 from typing import Any
 
 from sorrelfront.cli.main import _count
-from sorrelfront.lab.http1 import Backend
-from tests.daemon.fleet import OK, fleet
-from tests.test_process import ROOT
+from sorrelfront.lab.http1 import PATIENCE_S, Backend, Registry, member
+from tests.daemon.fleet import OK, Fleet, fleet
+from tests.test_process import ROOT, free_address
 
 SHIPPED = str(ROOT / "deploy" / "sorrelfront.toml")
 
@@ -107,3 +108,84 @@
     (folder / "i0-12.sock").touch()
     said = run("ctl", str(file), "status").stderr
     assert "no daemon runs by this file" in said and "1 instances may serve without one" in said
+
+
+def test_members_shows_the_fleet_and_follows_it(tmp_path: Path) -> None:
+    """Two instances that find each other; another key is taken by a reload, a bad file of it is not."""
+
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with fleet(tmp_path, backend) as made:
+            alone = await asyncio.to_thread(run, "ctl", str(made.path), "members")
+            assert alone.returncode == 1 and "has no [fleet]" in alone.stderr
+        port = free_address()[1]
+        key = tmp_path / "fleet.key"
+        key.write_text("0123456789abcdef\n")
+        key.chmod(0o600)
+        backend = await Backend(OK).start()
+        registry = await Registry().start()
+        registry.known = [member("b0", backend.address)]
+        made = Fleet(tmp_path, registry.address)
+        made.tables = f"""
+[fleet]
+name = "f"
+listen = "127.0.0.1:{port}"
+join = ["127.0.0.1:{port}", "127.0.0.1:{port + 1}"]
+key_file = "fleet.key"
+probe_ms = 100
+answer_ms = 50
+recall_ms = 100
+"""
+        made.write()
+        await made.start()
+        try:
+            await made.ready()
+            async with asyncio.timeout(PATIENCE_S):
+                while (await made.ask("members")).get("agreeing") != 2:
+                    await asyncio.sleep(0.05)
+            told = await asyncio.to_thread(run, "ctl", str(made.path), "members", "--json")
+            answer = json.loads(told.stdout)
+            assert set(answer) == {"fleet", "self", "agreeing", "members"} and answer["fleet"] == "f"
+            assert [row["name"] for row in answer["members"]] == ["sorrelfront/i0", "sorrelfront/i1"]
+            assert {row["state"] for row in answer["members"]} == {"alive"}
+            shown = await asyncio.to_thread(run, "ctl", str(made.path), "members", "--instance", "i1")
+            assert "fleet f, seen by sorrelfront/i1: 2 living, 2 of them see the same" in shown.stdout
+            figures = (await made.status())["i0"]["fleet"]
+            assert figures["members"] == 2 and figures["strange"] == 0
+
+            key.chmod(0o644)
+            refused = await made.ask("reload")
+            assert not refused["ok"] and "mode 0600" in refused["faults"][0]
+            key.chmod(0o600)
+            key.write_text("fedcba9876543210\n0123456789abcdef\n")
+            assert (await made.ask("reload"))["ok"]
+            made.tables = made.tables.replace('name = "f"', 'name = "g"')
+            made.write()
+            assert "takes a restart" in (await made.ask("reload"))["faults"][0]
+
+            following = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "sorrelfront.cli.main", "ctl", str(made.path),
+                "members", "--follow", "--json", "--instance", "i1", cwd=ROOT, stdout=asyncio.subprocess.PIPE,
+            )  # fmt: skip
+            assert following.stdout is not None
+            try:
+                line = asyncio.create_task(following.stdout.readline())
+                pid = (await made.status())["i0"]["pid"]
+                async with asyncio.timeout(PATIENCE_S):
+                    while not line.done():  # the command may not have begun to follow yet
+                        for number in (signal.SIGSTOP, signal.SIGCONT):
+                            os.kill(pid, number)
+                            await asyncio.wait({line}, timeout=1.0)
+                event = json.loads(line.result())
+                assert event["name"] == "sorrelfront/i0"
+                assert event["what"] in ("suspected", "cleared", "died", "joined")
+            finally:
+                following.kill()
+                await following.wait()
+        finally:
+            made.signal(signal.SIGTERM)
+            assert await made.ended() == 0, made.log.read_text()
+            registry.stop()
+            backend.stop()
+
+    asyncio.run(play())
--- a/tests/daemon/fleet.py
+++ b/tests/daemon/fleet.py
@@ -48,6 +48,7 @@
         self.environ: dict[str, str] = {}
         self.orphan_ms = 0  # a test that ends early leaves no process behind
         self.more = ""  # further keys of [daemon]
+        self.tables = ""  # further tables
         self.servers: list[tuple[str, str]] = []  # a fixed list, in place of the registry
         self.tell_registry: Callable[..., None] = print
         self.write()
@@ -81,6 +82,7 @@
 {tables}
 [membership]
 {membership}
+{self.tables}
 """
 
     def write(self, **changes: Any) -> None:
--- a/tests/daemon/test_configuration.py
+++ b/tests/daemon/test_configuration.py
@@ -191,3 +191,43 @@
         check(top, PATH)
     except BadDocument as bad:
         assert bad.lines()
+
+
+FLEET = """
+[fleet]
+name = "f"
+listen = "127.0.0.1:7946"
+join = ["127.0.0.2:7946"]
+"""
+
+
+def test_a_fleets_members_have_ports_names_and_records_of_their_own() -> None:
+    more = 'control = "c.sock"\ninstances = 3\nstate_dir = "s"\nname = "a"'
+    text = GOOD.replace('control = "c.sock"', more)
+    document = parse((text + FLEET + 'advertise = "127.9.0.1:100"\nkey_file = "k"\n').encode(), PATH)
+    told = [instance_table(document, number)["fleet"] for number in range(3)]
+    assert [item["member"] for item in told] == ["a/i0", "a/i1", "a/i2"]
+    assert [item["listen"] for item in told] == ["127.0.0.1:7946", "127.0.0.1:7947", "127.0.0.1:7948"]
+    assert [item["advertise"] for item in told] == ["127.9.0.1:100", "127.9.0.1:101", "127.9.0.1:102"]
+    assert told[1]["record"] == "/etc/s/view-i1" and told[1]["key_file"] == "/etc/k"
+    assert instance_table(parse(GOOD.encode(), PATH), 0)["fleet"] is None
+    same = parse((GOOD + FLEET).encode(), PATH)
+    assert same.fleet is not None and same.fleet["advertise"] == same.fleet["listen"]
+
+
+@pytest.mark.parametrize(
+    ("changed", "fault"),
+    [
+        ('listen = "127.0.0.1:65535"', "[fleet] listen: has no 2 ports from 65535 on"),
+        ('listen = "10.0.0.1:7946"', "[fleet] key_file: is missing"),
+        ('listen = "127.0.0.1:8079"', "[fleet] listen: with the ports that follow is that of a listener too"),
+        ('listen = "nowhere"', "[fleet] listen: is not an IPv4 address and a port"),
+        ('listen = "127.0.0.1:7946"\nanswer_ms = 1000', "[fleet] answer_ms: must be below probe_ms"),
+        ('listen = "127.0.0.1:7946"\nprobe_ms = 1', "[fleet] probe_ms: must be at least 20"),
+        ('listen = "127.0.0.1:7946"\nport = 3', "[fleet] port: is not a key known here"),
+    ],
+)
+def test_a_fleet_that_cannot_be(changed: str, fault: str) -> None:
+    said = faults(GOOD + FLEET.replace('listen = "127.0.0.1:7946"', changed))
+    assert any(fault in line for line in said), said
+    assert faults(GOOD + FLEET.replace('"127.0.0.2:7946"', '"here"'))[0].count("[fleet] join: has 'here'")
--- a/tests/daemon/test_fleet.py
+++ b/tests/daemon/test_fleet.py
@@ -447,10 +447,20 @@
         "pythonjsonlogger", "sorrelfront.decisions.supervision", "sorrelfront.decisions.adoption",
         "sorrelfront.decisions.learnt", "sorrelfront.decisions.membership", "sorrelfront.decisions.places",
         "sorrelfront.sources.zookeeper", "sorrelfront.net.zookeeper", "sorrelfront.net.jute",
+        "sorrelfront.fleet", "sorrelfront.decisions.fleet", "numpy", "matplotlib",
     )  # fmt: skip
     assert not [name for name in loaded if name.startswith(extras)]
 
 
+def test_an_instance_without_a_fleet_imports_nothing_of_it() -> None:
+    code = "import sys, sorrelfront.daemon.instance; print(' '.join(sorted(sys.modules)))"
+    run = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+    loaded = run.stdout.split()
+    assert "sorrelfront.daemon.fellow" in loaded
+    parts = ("sorrelfront.fleet", "sorrelfront.decisions.fleet", "sorrelfront.lab", "numpy")
+    assert not [name for name in loaded if name.startswith(parts)]
+
+
 def test_a_hung_instance_is_replaced_and_the_rest_is_left_alone(tmp_path: Path) -> None:
     async def play() -> None:
         backend = await Backend(OK).start()
--- a/tests/storm/test_fleets.py
+++ b/tests/storm/test_fleets.py
@@ -94,3 +94,54 @@
     events = read(tmp_path / "history.jsonl")
     assert [event["ok"] for event in events if event["kind"] == "reload"] == [True] * 4
     assert len(views(events, "h1/i0")[-1]) == 6
+
+
+def died(events: list[dict[str, Any]]) -> set[str]:
+    """Members that some log has held for dead."""
+    found = set()
+    for event in events:
+        if event["kind"] == "said" and "is held for dead" in event["line"]:
+            found.add(json.loads(event["line"])["member"])
+    return found
+
+
+def test_who_is_well_is_not_declared_dead_by_the_sick(tmp_path: Path) -> None:
+    """One host at a few hundredths of a core, another whose links lose three datagrams in ten and double
+    one."""
+    faults = fault("starve", 0.5, 8.0, "h1") + fault("datagrams", 0.5, 8.0, "h2", "h1 h3 h4 h5", 0.3)
+    verdict = play(storm("sick", faults, 9.0, 5, 2), 1, tmp_path)
+    assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)
+    assert not {name for name in died(read(tmp_path / "history.jsonl")) if name[:2] not in ("h1", "h2")}
+
+
+def test_a_member_is_back_with_an_older_disk_with_none_and_with_its_clock_an_hour_off(tmp_path: Path) -> None:
+    faults = (
+        fault("kill", 0.5, 1.0, "h1 h2 h3")
+        + fault("disk-back", 1.0, 0, "h1")
+        + fault("disk-gone", 1.0, 0, "h2")
+    )
+    faults += fault("clock-step", 1.0, 0, "h3", size=-3600) + fault("kill", 4.0, 0.5, "h1 h2 h3")
+    verdict = play(storm("older", faults, 5.0, 4, 1), 1, tmp_path)
+    assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)
+
+
+def test_of_two_daemons_under_one_name_the_younger_stands_back(tmp_path: Path) -> None:
+    verdict = play(storm("twin", fault("twin", 0.5, 6.0, "h2"), 7.0, 3, 1), 1, tmp_path)
+    assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)
+    events = read(tmp_path / "history.jsonl")
+    lines = [
+        json.loads(event["line"])
+        for event in events
+        if event["kind"] == "said" and '"member"' in event["line"]
+    ]
+    told = [line for line in lines if "another process goes by the name" in line["event"]]
+    back = [line for line in lines if "stands back for an older process" in line["event"]]
+    assert len(told) == 2 and len(back) == 1  # each of the two, and the younger one once
+    assert "h2/i0" not in died(events)
+
+
+def test_a_ring_and_a_partition_in_three_settle_once_they_are_healed(tmp_path: Path) -> None:
+    faults = fault("ring", 0.5, 4.0, "h1 h2 h3 h4 h5 h6") + fault("cut", 5.0, 4.0, "h1 h2", "h3 h4 h5 h6")
+    faults += fault("cut", 5.0, 4.0, "h3 h4", "h5 h6")
+    verdict = play(storm("thirds", faults, 10.0, 6, 1), 1, tmp_path)
+    assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)
