--- a/benchmarks/fleets.py
+++ b/benchmarks/fleets.py
@@ -66,7 +66,7 @@
 
 
 def _detected(events: list[Event], instances: int) -> dict[str, float]:
-    """Seconds from the crash of h2: to the first view without one of its members, and until all are without all."""
+    """Seconds from the crash of h2: to the first view without one of its members; until all have none."""
     at = next(event["t"] for event in events if event["kind"] == "fault" and event["phase"] == "begin")
     dead = {f"h2/i{number}" for number in range(instances)}
     later = [
--- a/sorrelfront/lab/storm/report.py
+++ b/sorrelfront/lab/storm/report.py
@@ -140,7 +140,7 @@
     hosts = next(event["hosts"] for event in events if event["kind"] == "storm")
     faults = _faults(events, end)
     figure, (top, middle, rate, slow) = pyplot.subplots(
-        4, 1, sharex=True, figsize=(11, 3.4 + 0.32 * len(hosts) + 0.24 * len(faults)),
+        4, 1, sharex=True, figsize=(11, 5.0 + 0.32 * len(hosts) + 0.24 * len(faults)),
         height_ratios=[0.5 + 0.5 * len(hosts), 0.5 + 0.4 * max(1, len(faults)), 3, 2], layout="constrained",
     )  # fmt: skip
     for row, host in enumerate(hosts):
@@ -188,6 +188,12 @@
     ]
 
 
+def _legend(axes: Any) -> None:
+    """Above the axes: it hides nothing there."""
+    place = {"loc": "lower right", "bbox_to_anchor": (1, 0.98), "borderaxespad": 0}
+    axes.legend(fontsize=8, frameon=False, ncols=3, **place)
+
+
 def _service(events: list[Event], end: float, rate: Any, slow: Any) -> None:
     edges = np.arange(0.0, end + STEP_S, STEP_S)
     groups: dict[str, list[float]] = defaultdict(list)
@@ -203,8 +209,8 @@
     for name, colour in (("served", "#2c6b2a"), ("refused", "#c49a1a"), ("failed or lost", "#a61b1b")):
         counts, _ = np.histogram(groups[name], edges)
         rate.step(edges[:-1], counts / STEP_S, where="post", color=colour, label=name, lw=1.2)
-    rate.set_ylabel("answers a second")
-    rate.legend(fontsize=8, frameon=False, ncols=3, loc="upper right")
+    rate.set_ylabel("answers / s")
+    _legend(rate)
     steps = sorted(latencies)
     for share, colour in ((50, "#5b7db1"), (99, "#333333")):
         slow.plot(
@@ -216,7 +222,7 @@
         )
     if steps:
         slow.set_yscale("log")
-    slow.set_ylabel("ms, of the served")
-    slow.legend(fontsize=8, frameon=False, ncols=2, loc="upper right")
+    slow.set_ylabel("ms to 200")
+    _legend(slow)
     slow.set_xlabel("seconds since the storm's set-up began")
     slow.set_xlim(0, end)
