A process that stood back points the way to the fleet

The younger one answers an exchange now with the older one's address and all that it knows. Ruled out: the recall, which called on the address in turn.

--- a/sorrelfront/decisions/fleet/view.py
+++ b/sorrelfront/decisions/fleet/view.py
@@ -237,7 +237,8 @@
         )
 
     def whole(self, reply: bool = False) -> Whole:
-        return Whole(self.me, list(self.members.values()), reply)
+        # One that stands back answers as a signpost: who calls here learns of the older process and of the rest.
+        return Whole(self.members[self.me.name], list(self.members.values()), reply)
 
     # Time
 
@@ -644,7 +645,9 @@
             self._send((clash.ip, clash.port), self._clash(answer=True))
         if self.back:
             return
-        where = msgspec.structs.replace(self.me, ip=clash.ip, port=clash.port, by=self.me.name)
+        where = msgspec.structs.replace(
+            self.me, ip=clash.ip, port=clash.port, birth=clash.birth, by=self.me.name
+        )
         if clash.birth not in self._twins and len(self._twins) < CLASHES_MOST:
             self._twins.add(clash.birth)
             self._tell("twin", where)
@@ -655,6 +658,7 @@
 
     def _stand_back(self, other: News) -> None:
         self.back = True
+        self.members[self.me.name] = other
         self._probe = None
         self._rumours.clear()
         self._suspicions.clear()
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -162,6 +162,20 @@
         assert len(changes) <= 4 * len(fleet.nodes)
 
 
+def test_one_that_stood_back_points_the_way_to_the_fleet() -> None:
+    """Found by seed 769: one whose only address to join by is that of the younger twin stayed alone."""
+    for seed in (125, 769, 1049):
+        assert not play(seed).why
+    fleet = settled()
+    fleet.run(5 * SECOND)
+    fleet.start("m0004", ("10.4.4.4", 7_946), fleet.joins(), 0, key="younger")
+    fleet.run(fleet.now + 5 * SECOND)
+    assert fleet.nodes["younger"].view.back
+    fleet.start("late", ("10.5.5.5", 7_946), (("10.4.4.4", 7_946),), 0)
+    fleet.fault()
+    assert fleet.settle() is not None
+
+
 def test_an_incarnation_is_reserved_before_it_is_used_up() -> None:
     made = view()
     kept = made.reserved
