Storms in memory: a backlog that is bounded, and somebody left to join by

A starved process kept its backlog at the old pace after it was fed; it is bounded now as a kernel's buffer is, and taken at once.

--- a/sorrelfront/lab/fleet/storms.py
+++ b/sorrelfront/lab/fleet/storms.py
@@ -19,6 +19,7 @@
     interval_us=200_000, timeout_us=100_000, gossip_us=50_000, exchange_us=5_000_000, recall_us=500_000,
     keep_us=600_000_000,
 )  # fmt: skip
+JOIN = 3  # members that all others join by
 LOOK_US = SECOND // 2  # between two looks of the checker
 
 Fault = Callable[[VirtualFleet, Random], Callable[[], None] | None]
@@ -261,6 +262,10 @@
     if fleet.scheduled > fleet.now:
         fleet.run(fleet.scheduled)
     fleet.partition()
+    first = list(fleet.nodes)[:JOIN]
+    if not any(fleet.nodes[name].up for name in first):
+        # Who knew nobody when all of its addresses to join by died cannot find anybody: one of them comes back.
+        fleet.restart(first[0])
     took = fleet.settle()
     why = checker.why
     if took is None:
--- a/sorrelfront/lab/fleet/virtual.py
+++ b/sorrelfront/lab/fleet/virtual.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
@@ -30,7 +31,8 @@
     up: bool = True
     frozen: bool = False
     slow: float = 1.0  # times the time that a step takes: 20 for 5% of a core
-    busy_until: int = 0
+    busy: bool = False
+    backlog: deque[Callable[[], list[Action]]] = field(default_factory=deque)
     disk: int = 0
     timer: int = 0  # the latest timer's number: earlier ones are void
     inbox: list[Word] = field(default_factory=list)
@@ -185,20 +187,30 @@
 
     def _handle(self, node: Node, step: Callable[[], list[Action]]) -> None:
         """Have the process take a step, once it gets to it."""
-        if node.slow > 1.0:
-            start = max(self.now, node.busy_until)
-            node.busy_until = start + int(self.step_us * node.slow)
-
-            def later() -> None:
-                if node.up and not node.frozen:
-                    self._do(node, step())
-                    self._arm(node)
-
-            self.at(node.busy_until, later)
+        if node.slow > 1.0 or node.backlog:
+            if len(node.backlog) < INBOX_MOST:  # the kernel drops what comes beyond
+                node.backlog.append(step)
+            if not node.busy:
+                node.busy = True
+                self.at(self.now + int(self.step_us * node.slow), partial(self._work, node))
             return
         self._do(node, step())
         self._arm(node)
 
+    def _work(self, node: Node) -> None:
+        """A starved process takes its next step; one that is starved no more takes all that wait."""
+        node.busy = False
+        while node.backlog:
+            step = node.backlog.popleft()
+            if node.up and not node.frozen:
+                self._do(node, step())
+                self._arm(node)
+            if node.slow > 1.0:
+                break
+        if node.backlog and not node.busy:
+            node.busy = True
+            self.at(self.now + int(self.step_us * node.slow), partial(self._work, node))
+
     def _do(self, node: Node, actions: list[Action]) -> None:
         for action in actions:
             match action:
