--- a/sorrelfront/lab/fleet/storms.py
+++ b/sorrelfront/lab/fleet/storms.py
@@ -264,7 +264,7 @@
     fleet.partition()
     first = list(fleet.nodes)[:JOIN]
     if not any(fleet.nodes[name].up for name in first):
-        # Who knew nobody when all of its addresses to join by died cannot find anybody: one of them comes back.
+        # Who knew nobody when all its addresses to join by died cannot find anybody: one comes back.
         fleet.restart(first[0])
     took = fleet.settle()
     why = checker.why
