Rule 3 counts from when all of a host's watches were told; the tellings nobody reads do not

Seen: at the end of the cut the relay delivered the drain to watches that the host had closed 3 s before, and one instance's new watch was told a second before its siblings', whose connects were still unanswered.

--- a/sorrelfront/lab/storm/links.py
+++ b/sorrelfront/lab/storm/links.py
@@ -183,8 +183,10 @@
 
     def _pass(self, data: bytes) -> None:
         assert self.other.transport is not None
+        other_ended = self.other._ended
         self.other.transport.write(data)
-        if self.pair.relay.passed is not None and self is self.pair.far:
+        # What comes after its own end is read by nobody at the near side: it has closed.
+        if self.pair.relay.passed is not None and self is self.pair.far and not other_ended:
             self.pair.relay.passed(self.pair.number, data)
 
     def eof_received(self) -> bool:
--- a/sorrelfront/lab/storm/stage.py
+++ b/sorrelfront/lab/storm/stage.py
@@ -568,7 +568,7 @@
             block=self.block,
             view_bound_s=self._bound_s(),
             deadline_ms=self.scenario.load["deadline_ms"],
-            instances=storm["instances"],
+            instances=1 if self.platform else storm["instances"],
             servers=storm["servers"],
             plan=[
                 {
--- a/tests/storm/test_checkers.py
+++ b/tests/storm/test_checkers.py
@@ -83,6 +83,9 @@
     assert broken(history(drains, sent(1.5))) == set()
     assert broken(history(drains, sent(1.6))) == {"drains"}
     assert broken(history(drains, sent(1.6, "h2"))) == set()  # that host was told nothing
+    two = history(drains, sent(1.6), sent(2.7), (2.0, "told", drains[2]))
+    two[0]["instances"] = 2
+    assert [item.t for item in judge(two)["drains"]] == [2.71]  # from when its second watch was told
     ready = (1.2, "told", {"host": "h1", "server": "s1", "phase": "ready"})
     assert broken(history(drains, ready, sent(1.6))) == set()
     assert broken(history(drains, sent(1.9), fault(1.1, "freeze"), fault(1.8, "freeze", "over"))) == set()
