--- a/sorrelfront/cli/storm.py
+++ b/sorrelfront/cli/storm.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib.util
 import json
 from pathlib import Path
 from typing import Any
@@ -24,6 +25,8 @@
 def storm() -> None:
     """Play faults between several processes of the program. Exit codes: 0 all holds, 1 something does not, 3
     void."""
+    if importlib.util.find_spec("numpy") is None:
+        raise click.ClickException("storms need numpy, which comes with the extra `lab`")
 
 
 def _read(file: str) -> Any:
