--- a/sorrelfront/decisions/fleet/policy.py
+++ b/sorrelfront/decisions/fleet/policy.py
@@ -10,7 +10,7 @@
 so no two versions are served at once.
 
 State is immutable: each step returns the next state and what to do, in order. What is to be kept (`Keep`) has
-to be on disk before anything after it is sent. """
+to be on disk before anything after it is sent."""
 
 from __future__ import annotations
 
@@ -166,13 +166,9 @@
         record = self.record
         if record is None:
             return self, []
-        turned = self._out_of_turn(record, word.slot, sender)
-        if turned is not None:
-            return self, turned
-        if word.slot <= record.abstains:
-            return self, []
-        if word.ballot < record.promised:
-            return self, [Send(sender, Reject(word.slot, record.promised, self.name))]
+        refused = self._refused(record, word.slot, word.ballot, sender)
+        if refused is not None:
+            return self, refused
         kept = record._replace(promised=word.ballot)
         answer = Promise(word.slot, word.ballot, self.name, record.accepted, record.value)
         return self._replace(record=kept), [Keep(kept), Send(sender, answer)]
@@ -181,18 +177,23 @@
         record = self.record
         if record is None:
             return self, []
-        turned = self._out_of_turn(record, word.slot, sender)
-        if turned is not None:
-            return self, turned
-        if word.slot <= record.abstains:
-            return self, []
-        if word.ballot < record.promised:
-            return self, [Send(sender, Reject(word.slot, record.promised, self.name))]
+        refused = self._refused(record, word.slot, word.ballot, sender)
+        if refused is not None:
+            return self, refused
         kept = record._replace(promised=word.ballot, accepted=word.ballot, value=word.value)
-        return self._replace(record=kept), [
-            Keep(kept),
-            Send(sender, Accepted(word.slot, word.ballot, self.name)),
-        ]
+        answer = Accepted(word.slot, word.ballot, self.name)
+        return self._replace(record=kept), [Keep(kept), Send(sender, answer)]
+
+    def _refused(self, record: Record, slot: int, ballot: Ballot, sender: str) -> list[Keep | Send] | None:
+        """What to do instead of voting, perhaps nothing; None if it may vote."""
+        turned = self._out_of_turn(record, slot, sender)
+        if turned is not None:
+            return turned
+        if slot <= record.abstains:
+            return []
+        if ballot < record.promised:
+            return [Send(sender, Reject(slot, record.promised, self.name))]
+        return None
 
     def _out_of_turn(self, record: Record, slot: int, sender: str) -> list[Keep | Send] | None:
         """What to say of a slot that is not the next one; None if it is."""
