Storms of the view: all but one, moved, unheard, joins on both sides, flapping

'move' brings a host's members back under other addresses; a host's addresses to join by are far apart, so that each side of a cut has one. Found by the first play of sixteen hosts: the rig killed one host after the other and the storm's end came in between, so hosts that were still to die were waited for; they die together now.

--- a/sorrelfront/lab/storm/checkers.py
+++ b/sorrelfront/lab/storm/checkers.py
@@ -17,7 +17,7 @@
 SLACK_S = 0.05  # sockets' own, as the rules give it
 LATE_S = 0.5  # after its time an answer earns nothing; later still it is lost
 NEAR_S = 1.0  # the rig's own lateness is looked for so far before an event
-KILLED = frozenset({"kill", "power", "late"})
+KILLED = frozenset({"kill", "power", "late", "move"})
 STOPPED = KILLED | {"freeze"}
 # What records say of one that is not whole. One that is whole and too old says something else.
 TORN = (
--- a/sorrelfront/lab/storm/scenario.py
+++ b/sorrelfront/lab/storm/scenario.py
@@ -30,6 +30,7 @@
         "kill-instance",
         "freeze",
         "late",
+        "move",
         "starve",
         "restart",
         "replace",
--- a/sorrelfront/lab/storm/stage.py
+++ b/sorrelfront/lab/storm/stage.py
@@ -238,6 +238,7 @@
         self.phases: dict[str, str] = {}  # of its instances, as they were told last
         self.twin: Owned | None = None
         self.held = 1_000
+        self.moved = False  # its members have other addresses than at first
         self._spinners: list[Owned] = []
         self._pipes: list[asyncio.ReadTransport] = []
 
@@ -301,6 +302,11 @@
             self.twin.signal(signal.SIGTERM)
             await self.twin.reap(END_WITHIN_S)
 
+    def move(self) -> None:
+        """Its members go by other addresses from their next start on."""
+        self.moved = not self.moved
+        self.write()
+
     def rekey(self, step: int) -> None:
         """An operator's change of the key, in steps: 0 has the first key; 1 hears the second one as well, 2
         speaks it and hears the first; 3 hears the third."""
@@ -314,11 +320,15 @@
     def _fleet(self) -> str:
         if not (self.folder / "key").exists():
             self.rekey(0)
-        # By two hosts, so that no one of them has to be there.
-        others = [host.ip for host in self.stage.hosts.values() if host is not self][:2]
+        # By two hosts, so that no one of them has to be there; far apart, so that each side of a cut has one.
+        count = len(self.stage.scenario.hosts)
+        others = [f"127.0.{self.stage.block}.{number}" for number in range(1, count + 1)]
+        others.remove(self.ip)
+        others = [*others[:1], *others[1:][-1:]]
         probe_ms = self.stage.scenario.storm["probe_ms"]
+        more = TWIN if self.moved else 0
         return FLEET.format(
-            name=self.stage.mark, ip=self.ip, listen=VIEW_PORT, advertise=VIEW_RELAY_PORT,
+            name=self.stage.mark, ip=self.ip, listen=VIEW_PORT + more, advertise=VIEW_RELAY_PORT + more,
             join=", ".join(f'"{ip}:{VIEW_RELAY_PORT}"' for ip in others), probe_ms=probe_ms,
             answer_ms=probe_ms / 2,
         )  # fmt: skip
@@ -773,10 +783,12 @@
 
     async def _begin(self, item: Planned) -> None:
         match item.what:
-            case "kill":
+            case "kill" | "move":
                 for host in self._hosts(item):
                     host.there = False
-                    await host.kill()
+                await asyncio.gather(*(host.kill() for host in self._hosts(item)))
+                for host in self._hosts(item) if item.what == "move" else ():
+                    host.move()
             case "power":
                 await self._cut_power(item)
             case "kill-supervisor":
@@ -870,7 +882,7 @@
 
     async def _end(self, item: Planned) -> None:
         match item.what:
-            case "kill" | "late" | "kill-supervisor":
+            case "kill" | "late" | "move" | "kill-supervisor":
                 for host in self._hosts(item):
                     host.there = True
                     host.start()
--- a/tests/storm/test_fleets.py
+++ b/tests/storm/test_fleets.py
@@ -144,3 +144,42 @@
     faults += fault("cut", 5.0, 4.0, "h3 h4", "h5 h6")
     verdict = play(storm("thirds", faults, 10.0, 6, 1), 1, tmp_path)
     assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)
+
+
+def test_one_of_sixteen_is_left_and_sees_itself_alone(tmp_path: Path) -> None:
+    others = " ".join(f"h{number}" for number in range(1, 17) if number != 7)
+    verdict = play(storm("all-but-one", fault("kill", 0.5, 0, others), 2.0, 16, 1), 1, tmp_path)
+    assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)
+    events = read(tmp_path / "history.jsonl")
+    assert len(max(views(events, "h7/i0"), key=len)) == 16 and views(events, "h7/i0")[-1] == ["h7/i0"]
+
+
+def test_members_come_back_under_other_addresses(tmp_path: Path) -> None:
+    verdict = play(storm("moved", fault("move", 0.5, 1.0, "h2 h4"), 4.0), 1, tmp_path)
+    assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)
+    assert len(views(read(tmp_path / "history.jsonl"), "h1/i0")[-1]) == 24
+
+
+def test_a_host_that_hears_and_is_not_heard_is_given_up_and_is_back(tmp_path: Path) -> None:
+    verdict = play(storm("unheard", fault("one-way", 0.5, 9.0, "h1", "h2 h3 h4 h5 h6"), 10.0), 1, tmp_path)
+    assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)
+    everybody = [f"h{host}/i{number}" for host in range(1, 7) for number in range(4)]
+    seen = views(read(tmp_path / "history.jsonl"), "h4/i0")
+    assert everybody[4:] in seen and seen[-1] == everybody
+
+
+def test_members_join_on_both_sides_of_a_partition(tmp_path: Path) -> None:
+    faults = fault("cut", 0.2, 9.0, LOW, HIGH) + fault("late", 0.0, 2.0, "h3 h4")
+    verdict = play(storm("both-sides", faults, 10.0, 6, 2), 1, tmp_path)
+    assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)
+    everybody = [f"h{host}/i{number}" for host in range(1, 7) for number in range(2)]
+    events = read(tmp_path / "history.jsonl")
+    assert everybody[:6] in views(events, "h1/i0") and everybody[6:] in views(events, "h6/i0")
+    assert views(events, "h1/i0")[-1] == everybody
+
+
+def test_a_partition_that_comes_and_goes_every_second(tmp_path: Path) -> None:
+    flaps = "".join(fault("cut", 0.5 + 2 * number, 1.0, LOW, HIGH) for number in range(5))
+    verdict = play(storm("flapping", flaps, 10.0), 1, tmp_path)
+    assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)
+    assert len(views(read(tmp_path / "history.jsonl"), "h1/i0")[-1]) == 24
