--- a/sorrelfront/decisions/fleet/change.py
+++ b/sorrelfront/decisions/fleet/change.py
@@ -218,7 +218,8 @@
         return [Send(name, Check(self._number, self._name, self.value.document)) for name in wanted]
 
     def _checked(self, now: int) -> list[Send]:
-        if sum(item.slot >= 0 for item in self._shown.values()) < self._majority:
+        # Risk: a voter that has just started does not know whom its former life granted a lease.
+        if sum(item.slot >= 0 and not item.blind_us for item in self._shown.values()) < self._majority:
             return []  # who may be serving is not known in this round yet
         late = now - self._since
         holders = self._holders() - set(self._answers)
@@ -238,8 +239,10 @@
 
     def _round(self) -> list[Send]:
         if self._proposer is None:
-            ballot = (1, self._name)
-            self._proposer = Proposer(self._name, self._voters, self._slot, self.value, ballot)
+            # Risk: by its name alone, another change that this member proposes in the same slot, or its next
+            # life, would vote under the same ballot for another value, and two could be chosen.
+            who = f"{self._name}#{self._number:x}"
+            self._proposer = Proposer(who, self._voters, self._slot, self.value, (1, who))
             return self._proposer.begin()
         if self._above <= self._proposer.ballot:
             return self._proposer.still()  # a higher round would only void what is on its way
@@ -264,7 +267,7 @@
     # Waiting
 
     def _waited(self, known: list[Shown]) -> list[Send]:
-        there = [item for item in known if item.slot >= self._slot]
+        there = [item for item in known if item.slot >= self._slot and not item.blind_us]
         old = {name for item in there for name, version, _ in item.leases if version < self._slot}
         free = [item for item in there if not any(version < self._slot for _, version, _ in item.leases)]
         self._waits = tuple(sorted(old))
--- a/sorrelfront/decisions/fleet/policy.py
+++ b/sorrelfront/decisions/fleet/policy.py
@@ -18,6 +18,7 @@
 from typing import NamedTuple
 
 DRIFT = 500e-6  # between two clocks, at most, as a share: 200 millionths each, and some
+AHEAD = 2  # slots past the last that others know, in which a voter may have voted before it lost its memory
 HISTORY = 16  # chosen values that a voter keeps for members that were away
 
 Ballot = tuple[int, str]  # round, and who
@@ -345,7 +346,7 @@
         told = tuple(sorted({**dict(self.told), word.voter: word.chosen}.items()))
         if len(told) < self.majority:
             return self._replace(told=told), []
-        kept = FIRST._replace(abstains=max(chosen for _, chosen in told) + 2)
+        kept = FIRST._replace(abstains=max(chosen for _, chosen in told) + AHEAD)
         asks: list[Keep | Send] = [Keep(kept)]
         asks += [Send(voter, Need(1, self.name)) for voter, _ in told]
         return self._replace(record=kept, told=()), asks
@@ -360,6 +361,11 @@
             return self, [Send(word.member, item) for item in self.current()]
         if word.version > record.slot:
             return self, [Send(word.member, Need(record.slot + 1, self.name))]
+        if record.slot < record.abstains - AHEAD:
+            # Risk: it lost its memory, and grants an older version than it had granted before, together with
+            # a voter that was behind. A version that was served by is known to a majority, so to one of those
+            # that it asked.
+            return self, []
         # Its former lease on an older version is over: it asks for this one.
         running = [item for item in self.leases if item[2] > now and item[0] != word.member]
         older = any(version < word.version for _, version, _ in running)
