--- a/sorrelfront/cli/policy.py
+++ b/sorrelfront/cli/policy.py
@@ -68,9 +68,9 @@
     return len([item for item in told["shown"] if item["slot"] >= 0]) > len(told["voters"]) // 2
 
 
-def _in_force(latest: dict[str, Any] | None) -> tuple[policies.Policy, policies.Envelope] | None:
+def _in_force(told: dict[str, Any]) -> tuple[policies.Policy, policies.Envelope] | None:
     """The newest policy that a history has."""
-    for item in reversed(latest["history"] if latest else []):
+    for item in reversed(told["history"]):
         if not item["void"]:
             return policies.unseal(item["document"].encode())
     return None
@@ -140,8 +140,8 @@
 @click.pass_obj
 def show(document: Document, as_json: bool) -> None:
     """Print the policy in force; before the first, what FILE says."""
-    latest = _latest(_known(document, history=True))
-    found = _in_force(latest)
+    told = _known(document, history=True)
+    latest, found = _latest(told), _in_force(told)
     made = found[0] if found is not None else policies.of(document)
     if as_json:
         version = latest["slot"] if latest else 0
@@ -167,7 +167,7 @@
     """Check POLICY, and say what it would change."""
     made = _read(policy)
     try:
-        found = _in_force(_latest(_ask(document, what="look", history=True)))
+        found = _in_force(_ask(document, what="look", history=True))
         base = "the policy in force" if found is not None else "the file"
     except Unreached:
         found, base = None, "the file (no daemon answers)"
@@ -198,10 +198,13 @@
     latest = _latest(told)
     if latest is None:
         raise click.ClickException(_state(told)["why"])
-    for at, item in enumerate(reversed(latest["history"])):
+    for item in told["history"]:
         if change is not None and item["change"] == change:
-            _end(as_json, change, "in force", int(latest["slot"]) - at, "it was decided before", {})
-    found = _in_force(latest)
+            later = [other for other in told["history"] if other["version"] > item["version"]]
+            last = all(other["void"] for other in later)
+            why = "it was decided on before" if last else "it was, and another has come after it"
+            _end(as_json, change, "in force" if last else "not in force", int(item["version"]), why, {})
+    found = _in_force(told)
     if change is None and found is not None and found[0].digest == made.digest:
         _end(as_json, str(latest["change"]), "in force", int(latest["slot"]), "it is the policy there is", {})
     name = change or f"{made.digest}-{latest['slot'] + 1}"
@@ -281,12 +284,10 @@
 @click.pass_obj
 def history(document: Document, as_json: bool) -> None:
     """Print what was decided: when, by whom, and what it changed."""
-    latest = _latest(_known(document, history=True))
-    rows = latest["history"] if latest else []
-    first = (latest["slot"] if latest else 0) - len(rows) + 1
     before = policies.of(document)
     told = []
-    for version, item in enumerate(rows, first):
+    for item in _known(document, history=True)["history"]:
+        version = item["version"]
         row: dict[str, Any] = {"version": version, "change": item["change"], "void": item["void"]}
         if not item["void"]:
             made, envelope = policies.unseal(item["document"].encode())
--- a/sorrelfront/daemon/configuration.py
+++ b/sorrelfront/daemon/configuration.py
@@ -584,6 +584,8 @@
     state = document.state_folder
     for key, name in (("record", "view"), ("vote_record", "vote"), ("held_record", "held")):
         own[key] = str(state.absolute() / f"{name}-i{number}") if state is not None else ""
+    if fleet["voters"]:
+        own["policy"] = {"classes": document.classes, "limits": document.limits, "rules": document.rules}
     own["isolation"] = {name: cls["on_isolation"] for name, cls in document.classes.items()}
     return own
 
--- a/sorrelfront/daemon/control.py
+++ b/sorrelfront/daemon/control.py
@@ -16,6 +16,7 @@
 import struct
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
 from sorrelfront.daemon.channel import Message, bind_private, is_owner
 
@@ -24,7 +25,7 @@
 PARTS_MOST = 256  # frames of one answer
 SPEAK_S = 5.0  # for a peer's whole request, and for it to take the answer
 HEAD = struct.Struct(">I")
-ROWS = ("instances", "members")  # of an answer: lists that may come in several frames
+ROWS = ("instances", "members", "history")  # of an answer: lists that may come in several frames
 
 Handler = Callable[[Message], Awaitable[Message]]
 
@@ -121,8 +122,15 @@
     size = len(json.dumps(answer))
     if size <= FRAME_MOST or not isinstance(rows, list) or not rows:
         return [answer]
-    most = max(1, len(rows) * FRAME_MOST // (2 * size))  # rows differ in length
-    chunks = [rows[at : at + most] for at in range(0, len(rows), most)]
+    chunks: list[list[Any]] = [[]]
+    room = FRAME_MOST // 2  # the rest of the answer goes with the first of them
+    for row in rows:
+        length = len(json.dumps(row)) + 2
+        if chunks[-1] and length > room:
+            chunks.append([])
+            room = FRAME_MOST // 2
+        chunks[-1].append(row)
+        room -= length
     parts: list[Message] = [{**answer, key: chunks[0], "more": True}]
     parts += [{key: chunk, "more": True} for chunk in chunks[1:]]
     del parts[-1]["more"]
--- a/sorrelfront/daemon/policies.py
+++ b/sorrelfront/daemon/policies.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 import tomllib
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -33,6 +34,9 @@
 if TYPE_CHECKING:
     from sorrelfront.fleet.council import Council
 
+log = logging.getLogger("sorrelfront.daemon")
+
+TOLD_MOST = 8  # differences in one line of the log
 CHANGE_MOST = 96  # characters of a change's id
 TOP = ("classes", "limits", "rules", "out")
 OUT_MOST = 1_000  # servers out by hand
@@ -185,9 +189,19 @@
             return "; ".join(str(fault) for fault in bad.faults)
         except BadConfig as bad:
             return str(bad)
+        if policy is not None and policy != self.policy:
+            self._tell(version, policy)
         self.policy = policy
         return ""
 
+    def _tell(self, version: int, policy: Policy) -> None:
+        """What differs from this host's file, which may be an old one."""
+        lines = differences(check(self.table["fleet"]["policy"], Path("the file")), policy)
+        if lines:
+            more = f" and {len(lines) - TOLD_MOST} more" if len(lines) > TOLD_MOST else ""
+            said = "; ".join(lines[:TOLD_MOST])
+            log.info("version %d is not what the file here says: %s%s", version, said, more)
+
 
 async def answer(council: Council, message: dict[str, Any]) -> dict[str, Any]:
     """What an instance says to a word of `sorrelfront policy`. Raises KeyError, TypeError and ValueError for
@@ -196,7 +210,9 @@
     match message["what"]:
         case "look":
             shown = await council.look(bool(message.get("history")))
-            return told | {"shown": [_shown(item) for item in shown.values()]}
+            latest = max(shown.values(), key=lambda item: item.slot, default=None)
+            rows = _history(latest) if latest is not None else []
+            return told | {"shown": [_shown(item) for item in shown.values()], "history": rows}
         case "propose":
             value = Value(str(message["change"]), str(message["document"]).encode(), bool(message["void"]))
             if not 0 < len(value.change) <= CHANGE_MOST or len(value.document) > POLICY_MOST:
@@ -214,12 +230,21 @@
 
 
 def _shown(item: Shown) -> dict[str, Any]:
-    known = item._asdict()
-    known["history"] = [
-        {"change": value.change, "void": value.void, "document": value.document.decode(errors="replace")}
-        for value in item.history
+    return {key: value for key, value in item._asdict().items() if key != "history"}
+
+
+def _history(item: Shown) -> list[dict[str, Any]]:
+    """What the voter that knows most remembers, the oldest first."""
+    first = item.slot - len(item.history) + 1
+    return [
+        {
+            "version": version,
+            "change": value.change,
+            "void": value.void,
+            "document": value.document.decode(errors="replace"),
+        }
+        for version, value in enumerate(item.history, first)
     ]
-    return known
 
 
 def _outcome(council: Council) -> dict[str, Any]:
--- a/sorrelfront/decisions/fleet/change.py
+++ b/sorrelfront/decisions/fleet/change.py
@@ -88,9 +88,11 @@
         self._again = now
         self._shown: dict[str, Shown] = {}
         self._answers: dict[str, str] = {}
+        self._asked: set[str] = set()  # members, in this round
         self._proposer: Proposer | None = None
         self._above = (0, "")
         self._slot = 0
+        self._version = 0
         self._state = State.NOT_IN_FORCE
         self._why = ""
         self._waits: tuple[str, ...] = ()
@@ -104,8 +106,7 @@
     @property
     def outcome(self) -> Outcome:
         state = State.UNDER_WAY if not self.done else self._state
-        version = self._slot if self._stage in (Stage.WAIT, Stage.DONE) else 0
-        return Outcome(state, self._stage, version, self._why, self._waits, dict(self._answers))
+        return Outcome(state, self._stage, self._version, self._why, self._waits, dict(self._answers))
 
     def next_us(self) -> int:
         """When it wants `on_time`."""
@@ -129,6 +130,7 @@
                 if late > int(self._lease_us * LEASES) + DECIDE_US:
                     return self._end(State.NOT_IN_FORCE, "no majority of the voters answers", self._silent())
                 self._shown.clear()  # a voter that has died would tell of leases that are long over
+                self._asked.clear()
                 return self._look() + self._checks()
             case Stage.DECIDE:
                 if late > DECIDE_US:
@@ -185,7 +187,7 @@
             latest = max(item.slot for item in known)
             if latest >= self._slot:
                 return self._end(State.NOT_IN_FORCE, f"another change came first, as version {latest}", ())
-            return self._checked(now)
+            return self._checks() + self._checked(now)
         if self._stage is Stage.WAIT:
             return self._waited(known)
         return []
@@ -204,6 +206,8 @@
 
     def _enter(self, stage: Stage, now: int) -> list[Send]:
         self._stage, self._since = stage, now
+        if stage is Stage.WAIT:
+            self._version = self._slot  # this change's own, for good
         self._again = now + (WAIT_US if stage is Stage.WAIT else AGAIN_US)
         return []
 
@@ -214,7 +218,10 @@
         return {name for item in self._shown.values() for name, _, _ in item.leases}
 
     def _checks(self) -> list[Send]:
-        wanted = sorted((self._members | self._holders()) - set(self._answers))
+        """To those that were not asked in this round. Risk: one that was away when it began, and has a lease
+        by now, would never be asked and stand in the way."""
+        wanted = sorted((self._members | self._holders()) - set(self._answers) - self._asked)
+        self._asked.update(wanted)
         return [Send(name, Check(self._number, self._name, self.value.document)) for name in wanted]
 
     def _checked(self, now: int) -> list[Send]:
--- a/sorrelfront/lab/storm/scenario.py
+++ b/sorrelfront/lab/storm/scenario.py
@@ -112,6 +112,7 @@
     probe_ms: Annotated[float, Meta(ge=50, le=10_000)] = 200.0  # of the view
     voters: Annotated[int, Meta(ge=0, le=7)] = 0  # the first instances of so many hosts vote on one policy
     lease_ms: Annotated[float, Meta(ge=500, le=60_000)] = 1_500.0
+    hang_ms: Annotated[float, Meta(ge=1_000, le=600_000)] = 3_000.0  # hang_after_ms of each daemon
     isolation: Literal["go-on", "refuse"] = "refuse"  # of all classes, in a storm with voters
     plant: Literal["", "repeats-unsafe", "forgets-drains", "skips-sync"] = ""
 
