--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -11,6 +11,7 @@
     Accept,
     Chosen,
     Current,
+    Found,
     Grant,
     Holder,
     Keep,
@@ -101,6 +102,22 @@
     for slot in range(2, HISTORY + 5):
         made, _ = made.on_chosen(Chosen(slot, TWO))
     assert made.record is not None and len(made.record.chosen) == HISTORY
+    # One that is further behind than that is told where things stand, and goes on from there.
+    assert told(made.step(Need(1, "b"), "b", 0)[1]) == [Current(made.record.slot, TWO)]
+    assert made.on_current(Current(1, ONE)) == (made, [])
+
+
+def test_a_forced_policy_goes_forward_only_and_a_founded_voter_is_not_founded_again() -> None:
+    blank = started("a", VOTERS, None, LEASE_US, 0, fresh=False)
+    made, actions = blank.step(Found(0, None, "m"), "m", 0)
+    assert made.record == FIRST and isinstance(actions[0], Keep) and told(actions) == [Known("a", 0)]
+    made, _ = made.on_chosen(Chosen(1, ONE))
+    assert made.step(Found(0, None, "m"), "m", 0) == (made, [Send("m", Known("a", 1))])
+    forced = Value("forced", b"F")
+    made, actions = made.step(Found(101, forced, "m"), "m", 0)
+    assert isinstance(actions[0], Keep) and made.record is not None
+    assert (made.record.slot, made.record.document, made.record.chosen) == (101, b"F", (forced,))
+    assert made.step(Found(50, Value("late", b"L"), "m"), "m", 0)[0] == made
 
 
 def test_a_voter_without_memory_asks_and_stays_out_of_what_it_may_have_voted_in() -> None:
