--- a/sorrelfront/daemon/policies.py
+++ b/sorrelfront/daemon/policies.py
@@ -196,7 +196,11 @@
 
     def _tell(self, version: int, policy: Policy) -> None:
         """What differs from this host's file, which may be an old one."""
-        lines = differences(check(self.table["fleet"]["policy"], Path("the file")), policy)
+        try:
+            lines = differences(check(self.table["fleet"]["policy"], Path("the file")), policy)
+        except BadDocument as bad:
+            # Risk: a file that is good and longer than a policy may be would end this member's part.
+            lines = [f"the file could be no policy: {bad.faults[0]}"]
         if lines:
             more = f" and {len(lines) - TOLD_MOST} more" if len(lines) > TOLD_MOST else ""
             said = "; ".join(lines[:TOLD_MOST])
