The keeper of a storm removes its folder too, which lies in memory now

A rig that was ended by SIGKILL left its folder behind: three of 48 kB after a run of the tests. Seen: none is left after tests/storm/test_processes.py, which ends rigs so; no test asserts it, since other storms use the same place meanwhile.

--- a/sorrelfront/lab/storm/processes.py
+++ b/sorrelfront/lab/storm/processes.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -105,14 +106,14 @@
 
 
 class Keeper:
-    """A process that outlives the rig by a moment and ends all that it started, whatever ended the rig: it
-    waits for the end of a pipe that only the rig holds."""
+    """A process that outlives the rig by a moment, ends all that it started and removes its folder, whatever
+    ended the rig: it waits for the end of a pipe that only the rig holds."""
 
-    def __init__(self, mark: str) -> None:
+    def __init__(self, mark: str, folder: Path) -> None:
         read, self._write = os.pipe()
         environ = {name: value for name, value in os.environ.items() if name != MARK}
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "sorrelfront.lab.storm.processes", mark],
+            [sys.executable, "-m", "sorrelfront.lab.storm.processes", mark, str(folder)],
             stdin=read, env=environ, start_new_session=True,
         )  # fmt: skip
         os.close(read)
@@ -124,14 +125,16 @@
             self.process.wait(GONE_WITHIN_S * 2)
 
 
-def keep(mark: str) -> int:
+def keep(mark: str, folder: Path) -> int:
     """What the keeper does."""
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, signal.SIG_IGN)
     while os.read(0, 64):  # nothing is ever written: this returns when the rig is gone
         pass
-    return 0 if kill_all(mark) else 1
+    gone = kill_all(mark)
+    shutil.rmtree(folder, ignore_errors=True)  # it lies in memory
+    return 0 if gone else 1
 
 
 if __name__ == "__main__":
-    raise SystemExit(keep(sys.argv[1]))
+    raise SystemExit(keep(sys.argv[1], Path(sys.argv[2])))
--- a/sorrelfront/lab/storm/stage.py
+++ b/sorrelfront/lab/storm/stage.py
@@ -638,7 +638,7 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (min(DESCRIPTORS, hard), hard))
         self.block, claim = claim_block(self.seed)
         self.folder = Path(tempfile.mkdtemp(prefix="storm-", dir=_quick()))
-        keeper = Keeper(self.mark)
+        keeper = Keeper(self.mark, self.folder)
         try:
             await self._set_up()
             await self._storm(show)
