--- a/sorrelfront/cli/policy.py
+++ b/sorrelfront/cli/policy.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import click
+import tomli_w
 
 from sorrelfront.daemon import control, policies
 from sorrelfront.daemon.configuration import BadDocument, Document, read
@@ -147,16 +148,7 @@
         version = latest["slot"] if latest else 0
         click.echo(json.dumps({"version": version, "digest": made.digest, "policy": made.table()}))
         return
-    click.echo(_words(made))
-
-
-def _words(made: policies.Policy) -> str:
-    """As TOML: keys with texts, numbers, and true or false."""
-    lines = [f"out = {json.dumps([*made.out])}"]
-    tables = {f"classes.{json.dumps(name)}": cls for name, cls in made.classes.items()}
-    for name, table in {**tables, "limits": made.limits, "rules": made.rules}.items():
-        lines += ["", f"[{name}]", *(f"{key} = {json.dumps(value)}" for key, value in table.items())]
-    return "\n".join(lines)
+    click.echo(tomli_w.dumps(made.table()), nl=False)
 
 
 @policy.command()
--- a/sorrelfront/lab/storm/launch.py
+++ b/sorrelfront/lab/storm/launch.py
@@ -24,7 +24,7 @@
 # Rate, real monotonic ns and told monotonic ns since which it holds, and what the time of day is off by in
 # ns.
 CLOCK_LAYOUT = struct.Struct("dqqq")
-PLANTS = ("repeats-unsafe", "forgets-drains", "skips-sync")
+PLANTS = ("repeats-unsafe", "forgets-drains", "skips-sync", "ignores-leases")
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +111,15 @@
 
         held.Agent._on_update = on_update  # type: ignore[method-assign]
         held.Agent._on_failure = on_failure  # type: ignore[method-assign]
+    elif name == "ignores-leases":
+        from sorrelfront.fleet.council import Council, Standing
+
+        def standing(self: Any) -> Standing:
+            """Serves on by the version that it has, as if its lease had no end."""
+            return Standing.LEASED
+
+        Council.standing = standing  # type: ignore[method-assign]
+        Council.may_go_on = lambda self, version: True  # type: ignore[method-assign]
     elif name != "skips-sync":
         raise SystemExit(f"{PLANT}: no defect is called {name!r}; there are {', '.join(PLANTS)}")
 
--- a/sorrelfront/lab/storm/scenario.py
+++ b/sorrelfront/lab/storm/scenario.py
@@ -114,7 +114,7 @@
     lease_ms: Annotated[float, Meta(ge=500, le=60_000)] = 1_500.0
     hang_ms: Annotated[float, Meta(ge=1_000, le=600_000)] = 3_000.0  # hang_after_ms of each daemon
     isolation: Literal["go-on", "refuse"] = "refuse"  # of all classes, in a storm with voters
-    plant: Literal["", "repeats-unsafe", "forgets-drains", "skips-sync"] = ""
+    plant: Literal["", "repeats-unsafe", "forgets-drains", "skips-sync", "ignores-leases"] = ""
 
 
 class Load(Table, kw_only=True):
--- a/tests/daemon/test_policies.py
+++ b/tests/daemon/test_policies.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+import tomli_w
 
 from sorrelfront.daemon import policies
 from sorrelfront.daemon.configuration import BadDocument, Document, instance_table
@@ -45,6 +46,7 @@
     made = policy('out = ["s2", "s1", "s1"]\n' + LOOK)
     found, envelope = policies.unseal(policies.seal(made, "ann", 1.0, "p.toml"))
     assert found == made and found.digest == made.digest and made.out == ("s1", "s2")
+    assert policies.check(tomllib.loads(tomli_w.dumps(made.table())), Path("shown")) == made
     assert (envelope.who, envelope.file) == ("ann", "p.toml")
 
 
--- a/tests/storm/test_checkers.py
+++ b/tests/storm/test_checkers.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from sorrelfront.lab.storm import checkers
 from sorrelfront.lab.storm.checkers import CHECKERS, judge
 from sorrelfront.lab.storm.history import Event
 
@@ -116,3 +117,50 @@
     assert broken(history(fault(1, "disk-torn"), torn)) == set()
     assert broken(history((1, "disk", {"host": "h1", "broken": ["fleet"]}))) == {"records"}
     assert broken(history()[:-1]) == {"settled"}
+
+
+def _answered(call: str, asked: float, t: float, version: int, inside: bool = True) -> list[Event]:
+    return [
+        {"t": asked, "kind": "ask", "host": "h1", "call": call, "class": "look"},
+        {
+            "t": t, "kind": "answer", "host": "h1", "call": call, "class": "look", "status": "200", "ms": 1.0,
+            "version": version, "inside": inside,
+        },
+    ]  # fmt: skip
+
+
+def _change(name: str, t: float, state: str, version: int) -> Event:
+    return {"t": t, "kind": "change", "host": "h1", "change": name, "state": state, "version": version}
+
+
+def _policies(*events: Event) -> list[str]:
+    return [item.what for item in checkers.policies(sorted(events, key=lambda event: event["t"]))]
+
+
+def test_an_older_version_after_a_newer_was_served_is_a_breach() -> None:
+    newer, older = _answered("a", 1.0, 2.0, 2), _answered("b", 3.0, 4.0, 1)
+    assert len(_policies(*newer, *older)) == 1
+    assert not _policies(*newer, *_answered("c", 1.5, 4.0, 1))  # asked before the newer one was seen
+    assert not _policies(*newer, *_answered("d", 3.0, 4.0, 1, inside=False))  # outside the promise
+    assert len(_policies(_change("x", 2.0, "in force", 2), *older)) == 1  # an operator was told so
+
+
+def test_a_change_has_one_outcome() -> None:
+    kept: Event = {
+        "t": 9.0, "kind": "decided", "host": "h1", "history": [{"version": 1, "change": "x", "void": False}],
+    }  # fmt: skip
+    assert not _policies(_change("x", 1.0, "in force", 1), kept)
+    assert _policies(_change("x", 1.0, "not in force", 0), kept)  # told off, and decided on
+    assert _policies(_change("y", 1.0, "in force", 2), kept)  # in force, and forgotten
+    assert _policies(_change("x", 1.0, "in force", 1), _change("y", 2.0, "in force", 1))
+
+
+def test_what_an_unsafe_class_sends_twice_after_the_change_is_a_breach() -> None:
+    change = _change("x", 1.0, "in force", 1)
+    proposed: Event = {"t": 0.5, "kind": "propose", "host": "h1", "change": "x", "unsafe": True}
+    arrivals: list[Event] = [
+        {"t": 2.0 + number, "kind": "arrive", "server": "s1", "host": "h1", "sent": 2.0, "call": "a"}
+        for number in range(2)
+    ]
+    assert len(_policies(proposed, change, *_answered("a", 1.5, 4.0, 1), *arrivals)) == 1
+    assert not _policies(proposed, change, *_answered("a", 0.8, 4.0, 0), *arrivals)
--- a/tests/storm/test_policies.py
+++ b/tests/storm/test_policies.py
@@ -220,3 +220,13 @@
     head = HEAD.format(name="all", seconds=8.5, hosts=3, instances=2, isolation="refuse", lease=1_500)
     verdict = play(parse((head + faults).encode(), Path("all.toml")), seed, tmp_path)
     assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)
+
+
+def test_a_member_that_serves_past_its_lease_is_caught(tmp_path: Path) -> None:
+    """The storm of two operators, in which the program keeps the rule, with that defect planted."""
+    faults = fault("cut", 0.5, 7.0, "h1", "h2 h3") + fault("propose", 0.8, 0, "h2", size=2)
+    head = HEAD.format(name="plant", seconds=8.0, hosts=3, instances=3, isolation="refuse", lease=1_500)
+    planted = head.replace("[load]", 'plant = "ignores-leases"\n[load]')
+    verdict = play(parse((planted + faults).encode(), Path("plant.toml")), 1, tmp_path)
+    assert verdict["rules"]["policies"]["breaches"] > 0
+    assert "was decided by 0, asked" in verdict["rules"]["policies"]["first"][0]["what"]
--- a/tests/storm/test_scenario.py
+++ b/tests/storm/test_scenario.py
@@ -126,7 +126,7 @@
 def test_the_storms_that_come_with_the_program_are_sound() -> None:
     names = {path.stem for path in listed()}
     assert names >= {"calm", "host-dies", "cut-from-servers", "cut-from-list", "cut-from-both", "slow-host",
-                     "rolling-restart", "power", "drawn"}  # fmt: skip
+                     "rolling-restart", "power", "drawn", "policies"}  # fmt: skip
     for path in listed():
         made = read(path)
         assert made.storm["name"] == path.stem
