--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -158,6 +158,14 @@
     def start(self) -> None:
         self._run(self.balancer.start())
         self._hear(self._config.known, api.ListKind.CACHED)
+        if self.pushed:
+            self._source.subscribe()
+
+    @property
+    def pushed(self) -> bool:
+        """Whether the list comes from this machine, at no cost. The module asks only where asking costs, and
+        what is known there counts as told from the first moment."""
+        return not self._config.settings.subscribe
 
     def ask(self) -> None:
         """Ask for the list now, ahead of the time that the module has drawn. Risk: started beside another
--- a/sorrelfront/decisions/balancer.py
+++ b/sorrelfront/decisions/balancer.py
@@ -12,6 +12,7 @@
 from random import Random
 
 from sorrelfront.decisions import interface as api
+from sorrelfront.decisions.listing import Asking
 
 # Latencies are kept as multiples of what is usual for the request's class and cost hint, so none of these
 # is in units of one deployment.
@@ -295,7 +296,7 @@
         self.requests = 0
         self.retries = RETRY_BURST
         self.asking = False
-        self.ask_failures = 0
+        self.asks = Asking(self.random)
 
     def _adopt_classes(self, settings: api.Settings) -> None:
         """Before its first answer a class is taken to need a third of its aim; that answer replaces the
@@ -321,23 +322,21 @@
     # Keeping up with the list of servers
 
     def start(self) -> list[api.Action]:
-        """The first actions. Risk: agents that restart together reach discovery together; hence a seeded
-        spread."""
-        return self._ask(0.5 * self.random())
+        """The first actions."""
+        return self._ask(self.asks.first(self.settings.ask_within_us))
 
-    def _ask(self, spreads: float) -> list[api.Action]:
+    def _ask(self, wait_us: int) -> list[api.Action]:
         if self.asking or not self.settings.subscribe:
             return []
         self.asking = True
-        return [api.SetTimer(int(spreads * self.settings.ask_within_us), "subscribe")]
+        return [api.SetTimer(wait_us, "subscribe")]
 
     def on_list(self, event: api.BackendList, now: int) -> list[api.Action]:
         if event.kind is api.ListKind.FAILED:
-            # The list held stays in use. Risk: hammering a slow discovery; hence a growing, seeded back-off.
-            self.ask_failures += 1
-            return self._ask(min(2.0, 0.125 * 2**self.ask_failures) * (0.5 + self.random()))
+            # The list held stays in use.
+            return self._ask(self.asks.failed(self.settings.ask_within_us))
         if event.kind is not api.ListKind.CACHED:
-            self.ask_failures = 0
+            self.asks.heard()
         known, kept = self.servers, self.servers
         if event.kind is not api.ListKind.DELTA:
             kept = self.servers = {}
--- a/sorrelfront/platform/service.py
+++ b/sorrelfront/platform/service.py
@@ -17,8 +17,9 @@
 
 log = logging.getLogger(__name__)
 
-# For discovery's first word before a next version serves. Risk: by the list it was started with, it would
-# send to servers that have begun to drain since. Discovery may be down, and the version has 6 s in all.
+# For discovery's first word before a next version serves, or one whose list is pushed. Risk: by the list it
+# was started with, it would send to servers that have begun to drain since. Discovery may be down, and a
+# version has 6 s in all.
 LIST_WITHIN_S = 2.0
 LOOK_LIST_S = 0.01  # between looks for it
 
@@ -55,6 +56,7 @@
         if self._predecessor is not None:
             self._predecessor.watch(self._told_there)
             self._agent.ask()
+        if self._predecessor is not None or self._agent.pushed:
             until = time.monotonic() + LIST_WITHIN_S
             while not self._agent.listed and time.monotonic() < until:
                 await asyncio.sleep(LOOK_LIST_S)
--- /dev/null
+++ b/tests/decisions/test_listing.py
@@ -0,0 +1,126 @@
+"""The list's clock: what counts as told when, and when to ask again."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from sorrelfront.decisions.listing import (
+    COUNTS_US,
+    MOVED_US,
+    SILENCE_US,
+    SOON_US,
+    Asking,
+    ListClock,
+)
+
+SECOND = 1_000_000
+
+
+def clock(pushed: bool = False) -> ListClock:
+    return ListClock(pushed, Random(1).random)
+
+
+def test_a_call_is_broken_without_a_whole_line_however_it_drips() -> None:
+    made = clock()
+    call = made.opened(0)
+    assert call.due == SILENCE_US
+    call.began(SECOND)
+    made.line(call, 2 * SECOND)
+    assert call.due == 2 * SECOND + SILENCE_US
+
+
+def test_after_a_silence_it_asks_soon_until_what_was_missed_counts_and_then_leaves_it_to_the_back_off() -> (
+    None
+):
+    made = clock()
+    call = made.opened(0)
+    made.line(call, SECOND)
+    now = call.due
+    calls = 0
+    while (wait := made.ended(call, now, silent=True)) is not None:
+        assert 0 <= wait <= 1.5 * SOON_US
+        now += wait
+        if now >= SECOND + COUNTS_US:
+            break
+        calls += 1
+        call = made.opened(now)  # refused at once
+    assert calls >= 4
+    assert made.ended(call, SECOND + COUNTS_US, silent=False) is None
+    assert made.counts_at is None
+
+
+def test_a_line_of_the_new_call_ends_the_haste() -> None:
+    made = clock()
+    call = made.opened(0)
+    made.line(call, 0)
+    assert made.ended(call, SILENCE_US, silent=True) is not None
+    again = made.opened(SILENCE_US + SOON_US)
+    made.line(again, SILENCE_US + SOON_US)
+    assert made.counts_at is None
+    assert made.ended(again, SILENCE_US + 2 * SOON_US, silent=False) is None
+
+
+def test_an_end_that_was_seen_at_once_is_the_back_offs() -> None:
+    made = clock()
+    call = made.opened(0)
+    made.line(call, SECOND)
+    assert made.ended(call, 2 * SECOND, silent=False) is None
+
+
+def test_a_call_that_never_said_anything_adds_nothing_to_what_was_missed() -> None:
+    made = clock()
+    call = made.opened(0)
+    assert made.ended(call, SILENCE_US, silent=True) is None
+
+
+def test_after_a_move_it_asks_soon_for_as_long_as_the_move_counts() -> None:
+    made = clock()
+    call = made.opened(0)
+    made.line(call, SECOND)
+    made.moved(2 * SECOND)
+    new = made.opened(2 * SECOND)
+    made.line(call, 2 * SECOND + 1)  # the earlier one is still heard, and settles nothing there
+    assert made.counts_at == 2 * SECOND + MOVED_US
+    assert made.ended(new, 3 * SECOND, silent=False) is not None
+    newer = made.opened(3 * SECOND)
+    made.line(newer, 3 * SECOND)
+    assert made.counts_at is None
+
+
+def test_a_silence_that_begins_as_it_moves_counts_from_whichever_is_first() -> None:
+    made = clock()
+    call = made.opened(0)
+    made.line(call, 0)
+    made.moved(0)
+    made.ended(call, SILENCE_US, silent=True)
+    assert made.counts_at == min(MOVED_US, COUNTS_US)
+
+
+def test_a_pushed_list_is_asked_again_at_once_whatever_happened() -> None:
+    made = clock(pushed=True)
+    call = made.opened(0)
+    for now in range(0, 100 * SECOND, SECOND):
+        wait = made.ended(call, now, silent=False)
+        assert wait is not None and 0 < wait < SECOND
+        call = made.opened(now)
+
+
+@pytest.mark.parametrize("within_us", [1_000, 10 * SECOND])
+def test_the_back_off_doubles_up_to_three_times_the_time_of_asking_and_is_forgotten(within_us: int) -> None:
+    asking = Asking(Random(3).random)
+    assert 0 <= asking.first(within_us) <= within_us // 2
+    waits = [asking.failed(within_us) for _ in range(12)]
+    assert waits[0] <= 0.375 * within_us and max(waits) <= 3 * within_us
+    assert min(waits[6:]) >= within_us
+    asking.heard()
+    assert asking.failed(within_us) <= 0.375 * within_us
+
+
+def test_how_old_what_is_known_may_be() -> None:
+    made = clock()
+    assert made.age_us(5) is None
+    call = made.opened(0)
+    made.line(call, SECOND)
+    assert made.age_us(3 * SECOND) == 2 * SECOND
