Agents of a fleet keep copies: a ledger on disk, the carrier, the list's use, ctl status, storms

[fleet] copies = true; off without it. What the list service says goes into the list's book; drains into each member's own; an agent whose service has not spoken serves by the copy once it is level with its peers; one whose service lags behind the copy is held to the more careful word.

--- a/sorrelfront/daemon/configuration.py
+++ b/sorrelfront/daemon/configuration.py
@@ -225,6 +225,9 @@
     voters: Annotated[list[Any], Meta(max_length=VOTERS_MOST)] = []
     lease_ms: Annotated[float, Meta(ge=500, le=600_000)] = 5_000.0
     policy_header: bool = False  # answers say by which version they were decided
+    # Copies of what matters, so that one that returns knows what its neighbours know.
+    copies: bool = False
+    copies_kb_s: Annotated[float, Meta(ge=1, le=1_000_000)] = 512.0  # given to those that catch up
 
 
 TOP = ("daemon", "log", "listeners", "classes", "limits", "rules", "membership", "fleet")
@@ -582,7 +585,9 @@
     own["member"] = f"{document.daemon['name']}/i{number}"
     own["key_file"] = str(document.path.parent.absolute() / fleet["key_file"]) if fleet["key_file"] else ""
     state = document.state_folder
-    for key, name in (("record", "view"), ("vote_record", "vote"), ("held_record", "held")):
+    for key, name in (
+        ("record", "view"), ("vote_record", "vote"), ("held_record", "held"), ("copies_record", "copies"),
+    ):  # fmt: skip
         own[key] = str(state.absolute() / f"{name}-i{number}") if state is not None else ""
     if fleet["voters"]:
         own["policy"] = {"classes": document.classes, "limits": document.limits, "rules": document.rules}
--- a/sorrelfront/daemon/fellow.py
+++ b/sorrelfront/daemon/fellow.py
@@ -6,6 +6,7 @@
 import asyncio
 import importlib.metadata
 import logging
+from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -17,7 +18,9 @@
 if TYPE_CHECKING:
     from sorrelfront.daemon.gate import GatedAgent
     from sorrelfront.daemon.policies import Governed
+    from sorrelfront.fleet.copier import Copier
     from sorrelfront.fleet.council import Council
+    from sorrelfront.messages import Update
 
 log = logging.getLogger("sorrelfront.daemon")
 
@@ -53,8 +56,36 @@
             raise BadConfig(f"fleet.key_file: {bad}") from None
         self._seat = Seat(table["member"], int(table["rest_ms"] * 1_000))
         self.council: Council | None = None
+        self.copier: Copier | None = None
         self._member.start()
 
+    def copy(self, listed: bool, update: Callable[[Update], None]) -> None:
+        """Keep copies with the others. `listed`: this member's list service counts its states, the same for
+        all members. `update`: tells the agent of servers."""
+        from sorrelfront.daemon.ledger import Ledger
+        from sorrelfront.fleet.copier import Copier, Ports, changes, settings
+
+        table, view = self._member.table, self._member.carrier.view
+        ledger = Ledger(Path(table["copies_record"])) if table["copies_record"] else None
+        kept = changes(ledger.load()) if ledger is not None else []
+
+        async def write(payloads: list[bytes]) -> None:
+            if ledger is not None:
+                await asyncio.to_thread(ledger.write, payloads)
+
+        async def snapshot(payloads: list[bytes]) -> None:
+            if ledger is not None:
+                await asyncio.to_thread(ledger.snapshot, payloads)
+
+        ports = Ports(
+            say=self._member.keep(lambda sender, data: copier.hear(sender, data)),
+            members=view.alive, known=lambda: set(view.members), write=write, snapshot=snapshot,
+            wants_snapshot=lambda: ledger is not None and ledger.wants_snapshot, update=update,
+        )  # fmt: skip
+        copier = Copier(table["member"], "registry" if listed else "", settings(table), ports, kept)
+        self.copier = copier
+        copier.start()
+
     def govern(self, agent: GatedAgent, governed: Governed) -> None:
         """Take part in the fleet's policy: `agent` asks before it decides, `governed` goes by what is in
         force."""
@@ -115,11 +146,17 @@
 
     def figures(self) -> dict[str, Any]:
         told = self._member.carrier.figures()
-        return told if self.council is None else {**told, "policy": self.council.figures()}
+        if self.council is not None:
+            told["policy"] = self.council.figures()
+        if self.copier is not None:
+            told["copies"] = self.copier.figures()
+        return told
 
     def close(self, leave: bool) -> None:
         if self.council is not None:
             self.council.close()
+        if self.copier is not None:
+            self.copier.close()
         self._member.carrier.close(leave)
         if self._writer is not None:
             self._writer.close()
--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -17,6 +17,7 @@
 import socket
 import sys
 import time
+from collections.abc import Callable
 from dataclasses import asdict
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -30,6 +31,7 @@
 from sorrelfront.decisions import places
 from sorrelfront.decisions.adoption import PROTOCOL, Life
 from sorrelfront.decisions.learnt import KEPT_MOST_US, Unusable, adopt, snapshot
+from sorrelfront.decisions.listing import SILENCE_US
 from sorrelfront.decisions.membership import Answering
 from sorrelfront.fronts.http1 import Listener
 from sorrelfront.messages import Address, Update
@@ -92,6 +94,8 @@
         self._leaving: set[asyncio.Task[None]] = set()  # listeners that were moved away, while they end
         self._bodies: BodyBudget | None = None
         self._ephemeral: Ephemeral | None = None  # the source, if it is one of ephemeral nodes
+        self._registry: registry.Discovery | None = None  # the same, if it is a watch
+        self._tell_list: Callable[[Update], None] = lambda update: None  # to the agent
         self._seat: int | None = None  # among the instances, if the service says
         self._fellow: Fellow | None = None  # among the members of its fleet, if the file has one
         self._governed: Governed | None = None  # by the fleet's policy, if it has voters
@@ -273,6 +277,8 @@
         self._agent.start()
         if table.get("fleet") is not None:
             self._fellow = Fellow(table["fleet"])
+            if table["fleet"]["copies"]:
+                self._fellow.copy(table["source"] == "registry", self._tell_list)
             if governed:
                 self._govern(table)
         if config.known.backends:
@@ -347,19 +353,26 @@
         self.say({"op": "learnt", "id": number, "text": text})
 
     def _source(self, config: Config, on_update: Any, on_failure: Any) -> Source:
-        def update(heard: Update) -> None:
+        def tell(heard: Update) -> None:
             on_update(heard)
             learnt, self._learnt = self._learnt, None
             if learnt is not None:  # a list is known now, so its servers can be told from others
                 self._take_up(learnt)
 
+        def update(heard: Update) -> None:
+            copier = self._fellow.copier if self._fellow is not None else None
+            tell(heard if copier is None else copier.heard(heard))
+
+        self._tell_list = tell
+
         if self._table.get("source") == "fixed":
             return FixedList(config, update)
         if self._table.get("source") == "zookeeper":
             terms = ephemeral.terms(self._table["zookeeper"])
             self._ephemeral = ephemeral.made(terms, config, self._answering, update, self._sit)
             return self._ephemeral
-        return registry.watch(config, update, on_failure)
+        self._registry = registry.watch(config, update, on_failure)
+        return self._registry
 
     def _change(self, config: Config, table: Message) -> None:
         assert self._agent is not None
@@ -431,6 +444,7 @@
         if self._ephemeral is not None:
             figures |= self._ephemeral.figures()
         if self._fellow is not None:
+            self._beat_copies(self._fellow)
             figures["fleet"] = self._fellow.figures()
             if self._governed is not None:
                 figures["fleet"]["requests"] = self._gate_figures()
@@ -440,6 +454,14 @@
         self.say({"op": "beat", "figures": figures})
         asyncio.get_running_loop().call_later(BEAT_S, self._beat)
 
+    def _beat_copies(self, fellow: Fellow) -> None:
+        if fellow.copier is None:
+            return
+        age_us = self._registry.clock.age_us(registry.now_us()) if self._registry is not None else None
+        if age_us is not None and age_us <= SILENCE_US:
+            fellow.copier.current()
+        fellow.copier.beat()
+
     def _gate_figures(self) -> dict[str, int]:
         from sorrelfront.daemon.gate import GatedAgent
 
--- a/sorrelfront/daemon/records.py
+++ b/sorrelfront/daemon/records.py
@@ -35,6 +35,7 @@
     INCARNATION = 4
     VOTE = 5
     HELD = 6
+    COPIES = 7
 
 
 class Spoilt(Exception):
--- a/sorrelfront/decisions/fleet/words.py
+++ b/sorrelfront/decisions/fleet/words.py
@@ -124,6 +124,14 @@
     word: bytes
 
 
+class Copy(msgspec.Struct, frozen=True, array_like=True, tag="k", gc=False):
+    """A word about copies (`copies.unpack`), carried as `Said` is."""
+
+    sender: Name
+    to: Name
+    word: bytes
+
+
 class Whole(msgspec.Struct, frozen=True, array_like=True, tag="w"):
     """All that a member knows, for an exchange over a connection. `reply`: it is the answer."""
 
@@ -132,7 +140,7 @@
     reply: bool
 
 
-Word = Ping | Ack | Ask | Nack | Gossip | Clash | Said
+Word = Ping | Ack | Ask | Nack | Gossip | Clash | Said | Copy
 EXCHANGE_MOST = MEMBERS_MOST * (2 * NAME_MOST + 96)  # bytes of a Whole at the most
 
 
@@ -141,7 +149,7 @@
 
 
 _word = msgspec.msgpack.Decoder(Word)
-_whole = msgspec.msgpack.Decoder(Whole | Said)
+_whole = msgspec.msgpack.Decoder(Whole | Said | Copy)
 _encode = msgspec.msgpack.Encoder().encode
 
 
@@ -162,9 +170,9 @@
         raise Unreadable(str(fault)) from None
 
 
-def decode_whole(data: bytes) -> Whole | Said:
+def decode_whole(data: bytes) -> Whole | Said | Copy:
     """What came alone on a connection. Raises Unreadable."""
     try:
-        return _whole.decode(data)
+        return _whole.decode(data)  # type: ignore[no-any-return]
     except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as fault:
         raise Unreadable(str(fault)) from None
--- a/sorrelfront/fleet/carrier.py
+++ b/sorrelfront/fleet/carrier.py
@@ -18,6 +18,7 @@
     DATAGRAM_MOST,
     EXCHANGE_MOST,
     Address,
+    Copy,
     Said,
     State,
     Unreadable,
@@ -82,6 +83,7 @@
         self._ours = 0
         self._parcels = 0
         self.on_said: Callable[[Said], None] | None = None  # words about policy, if this member has a part
+        self.on_copy: Callable[[Copy], None] | None = None  # words about copies, if it keeps any
         self._allowance = float(WORDS_A_SECOND)
         self._refilled = time.monotonic()
         self._closed = False
@@ -181,14 +183,17 @@
         self._heard_word(word)
 
     def _heard_word(self, word: Word) -> None:
-        if not isinstance(word, Said):
+        if isinstance(word, Copy):
+            if self.on_copy is not None and word.to == self.view.me.name and not self.view.back:
+                self.on_copy(word)
+        elif not isinstance(word, Said):
             self._do(self.view.on_word(word, now_us()))
         elif self.on_said is not None and word.to == self.view.me.name and not self.view.back:
             self.on_said(word)
 
     # Out
 
-    def say(self, said: Said) -> None:
+    def say(self, said: Said | Copy) -> None:
         """To the member that it names, wherever the view has it; a word may be lost on the way."""
         news = self.view.members.get(said.to)
         if news is None or self._closed or self.view.back:
@@ -303,7 +308,7 @@
         try:
             async with asyncio.timeout(EXCHANGE_S):
                 asked = await self._read(reader)
-                if isinstance(asked, Said):
+                if isinstance(asked, Said | Copy):
                     self._heard_word(asked)
                 elif asked is not None and not asked.reply:
                     self._do(self.view.on_whole(asked, now_us()))
@@ -321,7 +326,7 @@
         writer.write(HEAD.pack(len(data)) + data)
         self.counts["sent_bytes"] += len(data)
 
-    async def _read(self, reader: asyncio.StreamReader) -> Whole | Said | None:
+    async def _read(self, reader: asyncio.StreamReader) -> Whole | Said | Copy | None:
         """What the other side knows or says; None if it is none of this fleet's."""
         (length,) = HEAD.unpack(await reader.readexactly(HEAD.size))
         if not OVERHEAD < length <= EXCHANGE_MOST + OVERHEAD:
--- a/sorrelfront/fleet/member.py
+++ b/sorrelfront/fleet/member.py
@@ -13,7 +13,7 @@
 from sorrelfront.decisions.fleet.policy import Word
 from sorrelfront.decisions.fleet.said import pack, unpack
 from sorrelfront.decisions.fleet.view import Settings, View
-from sorrelfront.decisions.fleet.words import Address, News, Said, State, Unreadable
+from sorrelfront.decisions.fleet.words import Address, Copy, News, Said, State, Unreadable
 from sorrelfront.fleet.carrier import Carrier, now_us
 from sorrelfront.fleet.council import Council
 from sorrelfront.fleet.envelope import Seal, keys
@@ -70,6 +70,13 @@
         self.carrier.view.retime(settings(table), places(table))
         self.table = table
 
+    # Copies
+
+    def keep(self, hear: Callable[[str, bytes], None]) -> Callable[[str, bytes], None]:
+        """Have words about copies handed over; returns by what this member says them."""
+        self.carrier.on_copy = lambda copy: hear(copy.sender, copy.word)
+        return lambda to, data: self.carrier.say(Copy(self.carrier.view.me.name, to, data))
+
     # Policy
 
     def sit(self, council: Council) -> None:
--- a/sorrelfront/lab/fleet/copies.py
+++ b/sorrelfront/lab/fleet/copies.py
@@ -299,7 +299,7 @@
         return f"{unlevel[0]} is not level" if unlevel and len(nodes) > 1 else ""
 
     def settle(self) -> int | None:
-        """Run until all hold one digest, and what was in flight is over. Microseconds; None: past the bound."""
+        """Run until all hold one digest and are level. Microseconds; None: past the bound."""
         began = self.now
         bound = bound_us(self.settings, len(self.nodes))
         while self.differing():
@@ -335,7 +335,7 @@
 def play(
     seed: int, members: int = 0, make: Make = Copies, settings: Settings = FAST
 ) -> tuple[list[str], Fleet]:
-    """One fleet through six to twelve faults from the seed, then the verdict: what was broken, if anything."""
+    """One fleet through six to twelve faults from the seed, then the verdict: what was broken, if any."""
     random = Random(seed ^ 0xC0)
     fleet = Fleet(members or random.choice((3, 3, 4, 5, 7)), seed, settings, make)
     fleet.run(2 * SECOND)
--- a/sorrelfront/lab/storm/checkers.py
+++ b/sorrelfront/lab/storm/checkers.py
@@ -298,6 +298,27 @@
     return []
 
 
+def copies(events: list[Event]) -> list[Breach]:
+    """After the last fault all living members hold the same copies, and are level, within the bounds of the
+    view and of the copies together; and no two members are told to be settled on different ones. By what the
+    members say of themselves, so servers' books have to bear it out: `drains` and `once`."""
+    head = next((event for event in events if event["kind"] == "storm"), {})
+    if not head.get("copies_bound_s"):
+        return []
+    bound = head["copies_bound_s"] + head["view_bound_s"]
+    done = next((event for event in events if event["kind"] == "settled"), None)
+    if done is None:
+        return []
+    last = max((event["t"] for event in events if event["kind"] == "fault"), default=0.0)
+    took = done["t"] - last
+    if not done["ok"] and "copies" in done["why"]:
+        return [Breach("copies", done["t"], f"{done['why']}, {took:.1f} s after the last fault")]
+    if took > bound and last > done["t"] - done["waited"]:
+        what = f"settled {took:.1f} s after the last fault, {bound:.1f} at most"
+        return [Breach("copies", done["t"], what)]
+    return []
+
+
 def policies(events: list[Event]) -> list[Breach]:
     """A change takes hold everywhere or nowhere. By what callers, servers and operators were told: a version
     stands for one change; one that was told to be not in force is never decided on, and one in force is;
@@ -388,6 +409,7 @@
     "records": records,
     "views": views,
     "policies": policies,
+    "copies": copies,
 }
 
 
--- a/sorrelfront/lab/storm/scenario.py
+++ b/sorrelfront/lab/storm/scenario.py
@@ -109,12 +109,15 @@
     platform: bool = False  # each host runs one `sorrelfront.platform` in place of a daemon
     state: bool = True  # a state folder for each host
     fleet: bool = False  # [fleet]: the instances keep a view of each other
+    copies: bool = False  # and copies of what matters; needs `fleet`
     probe_ms: Annotated[float, Meta(ge=50, le=10_000)] = 200.0  # of the view
     voters: Annotated[int, Meta(ge=0, le=7)] = 0  # the first instances of so many hosts vote on one policy
     lease_ms: Annotated[float, Meta(ge=500, le=60_000)] = 1_500.0
     hang_ms: Annotated[float, Meta(ge=1_000, le=600_000)] = 3_000.0  # hang_after_ms of each daemon
     isolation: Literal["go-on", "refuse"] = "refuse"  # of all classes, in a storm with voters
-    plant: Literal["", "repeats-unsafe", "forgets-drains", "skips-sync", "ignores-leases"] = ""
+    plant: Literal[
+        "", "repeats-unsafe", "forgets-drains", "skips-sync", "ignores-leases", "trusts-old-copies"
+    ] = ""
 
 
 class Load(Table, kw_only=True):
@@ -277,6 +280,8 @@
         raise BadDocument(path, checker.faults)
     if made.storm["voters"] and not (made.storm["fleet"] and made.storm["voters"] <= made.storm["hosts"]):
         checker.fault("storm", "voters", "needs fleet = true, and as many hosts")
+    if made.storm["copies"] and not made.storm["fleet"]:
+        checker.fault("storm", "copies", "needs fleet = true")
     faults = _faults(made, top.get("faults", []), checker)
     if made.draw is not None:
         _check_draw(made.draw, made, checker)
--- a/sorrelfront/lab/storm/stage.py
+++ b/sorrelfront/lab/storm/stage.py
@@ -26,8 +26,11 @@
 
 from sorrelfront.daemon import control
 from sorrelfront.daemon.processes import open_process, send_signal
-from sorrelfront.decisions.fleet.view import Settings, bound_us
+from sorrelfront.decisions.fleet.view import Settings
+from sorrelfront.decisions.fleet.view import bound_us as view_bound_us
+from sorrelfront.fleet.copier import settings
 from sorrelfront.lab.crowd import Crowd
+from sorrelfront.lab.fleet.copies import bound_us
 from sorrelfront.lab.http1 import Registry, member, table
 from sorrelfront.lab.shop import Book, Mode, Server
 from sorrelfront.lab.storm import disk, launch
@@ -152,10 +155,11 @@
         sent = origin.sent_at - stage.history.began if origin else stage.history.now()
         lines = whole.partition(b"\r\n\r\n")[0].split(b"\r\n")
         calls = [line[11:].strip() for line in lines if line[:11].lower() == b"x-call-id: "]
-        stage.history.add(
-            "arrive", server=self.name, host=origin.host if origin else "", sent=round(sent, 6),
-            call=calls[0].decode("latin-1") if calls else "",
-        )  # fmt: skip
+        call = calls[0].decode("latin-1") if calls else ""
+        host = origin.host if origin else ""
+        if stage.scenario.storm["copies"]:
+            host = call.partition("-")[0]  # by a copy it is reached through another host's relay
+        stage.history.add("arrive", server=self.name, host=host, sent=round(sent, 6), call=call)
         await super()._serve_one(whole, writer)
 
     def is_cold(self) -> None:
@@ -252,6 +256,7 @@
         self.ready = -1
         self.views: dict[str, list[str]] = {}
         self.policies: dict[str, tuple[int, str]] = {}  # of its instances: version, and how it stands
+        self.copies: dict[str, tuple[str, bool]] = {}  # of its instances: digest, and whether it is level
         self.phases: dict[str, str] = {}  # of its instances, as they were told last
         self.twin: Owned | None = None
         self.held = 1_000
@@ -352,6 +357,8 @@
             join=", ".join(f'"{ip}:{VIEW_RELAY_PORT}"' for ip in others), probe_ms=probe_ms,
             answer_ms=probe_ms / 2,
         )  # fmt: skip
+        if self.stage.scenario.storm["copies"]:
+            text += "copies = true\n"
         voters = self.stage.scenario.storm["voters"]
         if voters:
             names = ", ".join(f'"h{number}/i0"' for number in range(1, voters + 1))
@@ -462,6 +469,9 @@
                 told = item.get("fleet", {}).get("policy")
                 if told is not None:
                     self._governed(item["name"], told)
+                told = item.get("fleet", {}).get("copies")
+                if told is not None:
+                    self._copied(item["name"], told)
                 if self.phases.get(item["name"]) != item["phase"]:
                     self.phases[item["name"]] = item["phase"]
                     self.stage.history.add(
@@ -482,6 +492,16 @@
                 "policy", host=self.name, instance=instance, version=now[0], standing=now[1]
             )
 
+    def _copied(self, instance: str, told: dict[str, Any]) -> None:
+        """What one of its instances holds copies of."""
+        now = (str(told["digest"]), bool(told["level"]))
+        if self.copies.get(instance) != now:
+            self.copies[instance] = now
+            self.stage.history.add(
+                "copies", host=self.name, instance=instance, digest=now[0], level=now[1],
+                by_copy=told["by_copy"], list=told["list"], forked=sorted(told["forked"]),
+            )  # fmt: skip
+
     async def command(self, *words: str) -> tuple[int | None, dict[str, Any]]:
         """What `sorrelfront policy FILE ... --json` says here, and its exit code."""
         read, write = os.pipe()
@@ -657,6 +677,7 @@
             hosts=self.scenario.hosts,
             block=self.block,
             view_bound_s=self._bound_s(),
+            copies_bound_s=self._copies_bound_s(),
             deadline_ms=self.scenario.load["deadline_ms"],
             instances=1 if self.platform else storm["instances"],
             servers=storm["servers"],
@@ -761,7 +782,16 @@
             recall_us=500_000,
         )
         sick = any(item.what in ("freeze", "starve") for item in self.schedule)
-        return bound_us(times, storm["hosts"] * storm["instances"], awake=not sick) / 1e6
+        return view_bound_us(times, storm["hosts"] * storm["instances"], awake=not sick) / 1e6
+
+    def _copies_bound_s(self) -> float:
+        """Within which the copies are the same once the view has settled, by their design note."""
+        storm = self.scenario.storm
+        if not storm["copies"]:
+            return 0.0
+        table = {"probe_ms": storm["probe_ms"], "gossip_ms": 50, "keep_ms": 3_600_000, "copies_kb_s": 512}
+        times = settings(table)
+        return bound_us(times, storm["hosts"] * storm["instances"]) / 1e6
 
     async def _add_server(self, name: str, cold: bool) -> None:
         server = self.servers[name] = _Server(name, self)
@@ -869,7 +899,7 @@
                 for host in hosts
                 if host.ready < host.wanted or (host.crowd and len(host.crowd.latencies) < wanted[host.name])
             )
-            why = why or self._wrong_view(hosts) or self._wrong_policy(hosts)
+            why = why or self._wrong_view(hosts) or self._wrong_policy(hosts) or self._wrong_copies(hosts)
             if not why:
                 break
             await asyncio.sleep(0.02)
@@ -892,6 +922,19 @@
                     return f"{name} sees {len(host.views.get(name, []))} members, {len(living)} live"
         return ""
 
+    def _wrong_copies(self, hosts: list[Host]) -> str:
+        """Why the hosts' instances do not hold the same; empty if they do."""
+        if not self.scenario.storm["copies"]:
+            return ""
+        held = {
+            f"{host.name}/i{at}": host.copies.get(f"i{at}") for host in hosts for at in range(host.wanted)
+        }
+        digests = {told[0] for told in held.values() if told is not None}
+        unlevel = [name for name, told in held.items() if told is None or not told[1]]
+        if len(digests) > 1:
+            return f"{len(digests)} digests of copies at {len(held)} members"
+        return f"{unlevel[0]} is not level with the others' copies" if unlevel and len(held) > 1 else ""
+
     def figures(self) -> dict[str, Any]:
         """The rig's own: whether it was the bottleneck."""
         lags = np.array(self.lags or [0.0]) * 1e3
