--- a/sorrelfront/decisions/fleet/copies.py
+++ b/sorrelfront/decisions/fleet/copies.py
@@ -757,6 +757,7 @@
             case Beat():
                 self._on_beat(sender, word)
             case Same(era):
+                self._fetches.clear()
                 self._on_era(sender, era, None)
                 self._levelled_with(sender)
             case Rows():
@@ -777,6 +778,7 @@
         if differ and beat.era != self.era:
             differ = tuple(range(BUCKETS))  # who is behind has to look at all of it
         if not differ:
+            self._fetches.clear()  # Risk: one of a book that is gone everywhere would be waited for
             self._on_era(sender, beat.era, None)
             self._levelled_with(sender)
             if not beat.level:
@@ -866,7 +868,7 @@
         if self.level or sender not in self.peers:
             return
         self._level_with.add(sender)
-        if len(self._level_with & set(self.peers)) >= min(FEW, len(self.peers)) and not self._fetches:
+        if len(self._level_with & set(self.peers)) >= min(FEW, len(self.peers)):
             self.level = True
             if self.mine is None:
                 self._begin()
@@ -901,7 +903,8 @@
     def _overdue(self, id: BookId, fetch: _Fetch) -> None:
         """A giver went away in the middle: go on by another one, from where it stopped."""
         fetch.tries += 1
-        if fetch.tries > FETCH_TRIES or not self.peers:
+        place = Row(*id, fetch.seq)
+        if fetch.tries > FETCH_TRIES or not self.peers or self._ended(place) or self.covered(place):
             del self._fetches[id]
             return
         fetch.giver = self.peers[self.random.randrange(len(self.peers))]
@@ -909,6 +912,9 @@
 
     def _on_want(self, sender: str, want: Want) -> None:
         if want.id not in self.books:
+            self._say(
+                sender, self._rows((bucket(want.owner),), asks=False)
+            )  # it has ended, or never was here
             return
         if len(self._wants) >= WANTS_MOST and (sender, want.id) not in self._wants:
             self.figures.refused += 1
--- a/sorrelfront/lab/storm/launch.py
+++ b/sorrelfront/lab/storm/launch.py
@@ -24,7 +24,7 @@
 # Rate, real monotonic ns and told monotonic ns since which it holds, and what the time of day is off by in
 # ns.
 CLOCK_LAYOUT = struct.Struct("dqqq")
-PLANTS = ("repeats-unsafe", "forgets-drains", "skips-sync", "ignores-leases")
+PLANTS = ("repeats-unsafe", "forgets-drains", "skips-sync", "ignores-leases", "trusts-old-copies")
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +124,19 @@
 
         Council.standing = standing  # type: ignore[method-assign]
         Council.may_go_on = lambda self, version: True  # type: ignore[method-assign]
+    elif name == "trusts-old-copies":
+        from sorrelfront.decisions.fleet.copies import Copies, Levelled
+
+        made_copies = Copies.__init__
+
+        def trusting(self: Any, *told: Any, **more: Any) -> None:
+            """Acts by what its own disk has, before any peer was asked."""
+            made_copies(self, *told, **more)
+            self.level = True
+            self._begin()
+            self._out.append(Levelled())
+
+        Copies.__init__ = trusting  # type: ignore[method-assign]
     elif name != "skips-sync":
         raise SystemExit(f"{PLANT}: no defect is called {name!r}; there are {', '.join(PLANTS)}")
 
--- a/sorrelfront/lab/storm/stage.py
+++ b/sorrelfront/lab/storm/stage.py
@@ -256,7 +256,8 @@
         self.ready = -1
         self.views: dict[str, list[str]] = {}
         self.policies: dict[str, tuple[int, str]] = {}  # of its instances: version, and how it stands
-        self.copies: dict[str, tuple[str, bool]] = {}  # of its instances: digest, and whether it is level
+        # Of its instances: digest, whether it is level, and whether it serves by the copy of the list.
+        self.copies: dict[str, tuple[str, bool, bool]] = {}
         self.phases: dict[str, str] = {}  # of its instances, as they were told last
         self.twin: Owned | None = None
         self.held = 1_000
@@ -494,12 +495,12 @@
 
     def _copied(self, instance: str, told: dict[str, Any]) -> None:
         """What one of its instances holds copies of."""
-        now = (str(told["digest"]), bool(told["level"]))
+        now = (str(told["digest"]), bool(told["level"]), bool(told["by_copy"]))
         if self.copies.get(instance) != now:
             self.copies[instance] = now
             self.stage.history.add(
                 "copies", host=self.name, instance=instance, digest=now[0], level=now[1],
-                by_copy=told["by_copy"], list=told["list"], forked=sorted(told["forked"]),
+                by_copy=now[2], list=told["list"], forked=sorted(told["forked"]),
             )  # fmt: skip
 
     async def command(self, *words: str) -> tuple[int | None, dict[str, Any]]:
@@ -933,7 +934,10 @@
         unlevel = [name for name, told in held.items() if told is None or not told[1]]
         if len(digests) > 1:
             return f"{len(digests)} digests of copies at {len(held)} members"
-        return f"{unlevel[0]} is not level with the others' copies" if unlevel and len(held) > 1 else ""
+        if unlevel and len(held) > 1:
+            return f"{unlevel[0]} is not level with the others' copies"
+        left = [name for name, told in held.items() if told is not None and told[2]]
+        return f"{left[0]} still serves by its copies" if left else ""
 
     def figures(self) -> dict[str, Any]:
         """The rig's own: whether it was the bottleneck."""
