--- a/sorrelfront/decisions/fleet/copies.py
+++ b/sorrelfront/decisions/fleet/copies.py
@@ -629,7 +629,7 @@
         """Take its row into the digests, or out of them."""
         self._digests[bucket(book.id.owner)] ^= _row_mark(book.row)
 
-    def _commit(self, book: Book, items: Iterable[Item], seq: int, hops: int = 0, push: bool = True) -> None:
+    def _commit(self, book: Book, items: Iterable[Item], seq: int) -> None:
         """The book has these newer entries, and this state."""
         self._digest(book)
         before = book.seq
@@ -639,11 +639,14 @@
         self._digest(book)
         self._write(Change(book.row, taken))
         self._out.append(Changed(book.id.owner, tuple(item.key for item in taken)))
-        if push:
-            first, known = self._fresh.get(book.id, (before, 0))
-            self._fresh[book.id] = (first, max(known, hops))
-            if self._push_us is None:
-                self._push_us = self.now + self.settings.push_us
+        self._pass_on(book, before, 0)
+
+    def _pass_on(self, book: Book, before: int, hops: int) -> None:
+        """Have what came behind this sequence told to a few peers."""
+        first, known = self._fresh.get(book.id, (before, 0))
+        self._fresh[book.id] = (first, max(known, hops))
+        if self._push_us is None:
+            self._push_us = self.now + self.settings.push_us
 
     def _fork(self, owner: str, epoch: int, seq: int) -> None:
         self.figures.forks += 1
@@ -1019,7 +1022,7 @@
         if fetch.whole:
             self._take_whole(sender, fetch, give)
         else:
-            self._take_more(sender, fetch.items, give)
+            self._take_more(sender, fetch.items, give, pushed=False)
         return True
 
     def _pushed(self, sender: str, give: Give) -> None:
@@ -1035,8 +1038,8 @@
         elif give.goal.seq > book.seq:
             self._take_more(sender, give.items, give)
 
-    def _take_more(self, sender: str, items: Iterable[Item], give: Give) -> None:
-        """The book gets from its state to that of the giver."""
+    def _take_more(self, sender: str, items: Iterable[Item], give: Give, pushed: bool = True) -> None:
+        """The book gets from its state to that of the giver. `pushed`: it is news, and passed on."""
         book = self.books.get(give.goal.id)
         if book is None or give.goal.seq <= book.seq:
             return
@@ -1055,7 +1058,11 @@
         book.seq = give.goal.seq
         book.since = self.now
         self._digest(book)
-        self._arrived(book, taken, before, give.hops + 1)
+        self._write(Change(book.row, taken))
+        self._out.append(Changed(book.id.owner, tuple(item.key for item in taken)))
+        if pushed:
+            self._pass_on(book, before, give.hops + 1)
+        self._after_arrival(book)
 
     def _take_whole(self, sender: str, fetch: _Fetch, give: Give) -> None:
         """A book that came from its start takes the place of the one that is here."""
@@ -1085,15 +1092,6 @@
         self._out.append(Changed(id.owner, tuple(sorted(keys))))
         self._after_arrival(fresh)
 
-    def _arrived(self, book: Book, taken: tuple[Item, ...], before: int, hops: int) -> None:
-        self._write(Change(book.row, taken))
-        self._out.append(Changed(book.id.owner, tuple(item.key for item in taken)))
-        first, known = self._fresh.get(book.id, (before, 0))
-        self._fresh[book.id] = (first, max(known, hops))
-        if self._push_us is None:
-            self._push_us = self.now + self.settings.push_us
-        self._after_arrival(book)
-
     def _after_arrival(self, book: Book) -> None:
         if book.id.owner == self.me and book is not self.mine:
             self._adopt(book)
--- a/sorrelfront/lab/fleet/copies.py
+++ b/sorrelfront/lab/fleet/copies.py
@@ -10,6 +10,7 @@
 
 import heapq
 import math
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -122,7 +123,7 @@
         self.hurt: set[str] = set()  # hosts whose disks lost something
         self.gone: set[str] = set()  # members that are gone for good
         self.breaches: list[str] = []
-        self.bytes = 0
+        self.sent: Counter[tuple[str, str]] = Counter()  # bytes, from and to
         self._heap: list[tuple[int, int, Callable[[], None]]] = []
         self._count = 0
         for number in range(count):
@@ -217,7 +218,7 @@
 
     def send(self, node: Node, to: str, word: Word) -> None:
         data = pack(word)
-        self.bytes += len(data)
+        self.sent[node.name, to] += len(data)
         for other in self.up():
             if other.name == to and other is not node and self.random.random() >= self.loss:
                 latency = self.random.randint(200, 3_000)
