A book that is being taken is not given up because others lack it too

A benchmark of 100,000 entries never settled: equal digests with a peer cleared what was being fetched, and three that lack a book are alike.

--- a/sorrelfront/decisions/fleet/copies.py
+++ b/sorrelfront/decisions/fleet/copies.py
@@ -760,7 +760,6 @@
             case Beat():
                 self._on_beat(sender, word)
             case Same(era):
-                self._fetches.clear()
                 self._on_era(sender, era, None)
                 self._levelled_with(sender)
             case Rows():
@@ -781,7 +780,6 @@
         if differ and beat.era != self.era:
             differ = tuple(range(BUCKETS))  # who is behind has to look at all of it
         if not differ:
-            self._fetches.clear()  # Risk: one of a book that is gone everywhere would be waited for
             self._on_era(sender, beat.era, None)
             self._levelled_with(sender)
             if not beat.level:
--- a/tests/fleet/test_copies.py
+++ b/tests/fleet/test_copies.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from benchmarks.copies import filled
 from sorrelfront.decisions.fleet import copies
 from sorrelfront.decisions.fleet.copies import (
     Book,
@@ -172,3 +173,9 @@
     rows = copies.Rows(tuple(range(copies.BUCKETS)), (gone,), 0, True, True)
     told = one.on_word("b/i0", rows, one.now)
     assert not [item for item in told if isinstance(item, Say) and isinstance(item.word, Want)]
+
+
+def test_a_book_of_many_parts_is_taken_while_all_others_lack_it_too() -> None:
+    """Three that have nothing are alike, and that says nothing of what each is being given."""
+    fleet = filled(3_000, 4)
+    assert all(max(book.seq for book in node.copies.books.values()) >= 3_000 for node in fleet.up())
