--- a/sorrelfront/cli/main.py
+++ b/sorrelfront/cli/main.py
@@ -97,7 +97,7 @@
             said += f"\nup to {doors} instances may serve without one; `sorrelfront serve` adopts them"
         raise click.ClickException(said) from None
     except control.Unavailable as fault:
-        raise click.ClickException(f"the daemon does not answer: {fault}") from None
+        raise click.ClickException(f"the daemon does not answer: {fault.told()}") from None
 
 
 def _told(answer: dict[str, Any], as_json: bool, done: str) -> None:
--- a/sorrelfront/cli/policy.py
+++ b/sorrelfront/cli/policy.py
@@ -16,6 +16,7 @@
 
 from sorrelfront.daemon import control, policies
 from sorrelfront.daemon.configuration import BadDocument, Document, read
+from sorrelfront.errors import SorrelfrontError
 
 FILE = click.argument("file", type=click.Path(path_type=Path))
 POLICY = click.argument("policy", type=click.Path(path_type=Path))
@@ -38,9 +39,11 @@
         raise click.ClickException("\n".join(bad.lines())) from None
 
 
-class Unreached(Exception):
+class Unreached(SorrelfrontError):
     """No daemon, or none of its instances, answers."""
 
+    remedy = "Call it at another member of the fleet, or start the daemon of this FILE."
+
 
 def _ask(daemon: Document, **words: Any) -> dict[str, Any]:
     try:
@@ -56,7 +59,7 @@
     try:
         return _ask(document, what="look", history=history)
     except Unreached as fault:
-        raise click.ClickException(str(fault)) from None
+        raise click.ClickException(fault.told()) from None
 
 
 def _latest(told: dict[str, Any]) -> dict[str, Any] | None:
@@ -318,7 +321,7 @@
     try:
         told = _ask(document, **words)
     except Unreached as fault:
-        raise click.ClickException(str(fault)) from None
+        raise click.ClickException(fault.told()) from None
     there = sorted(item["voter"] for item in told["shown"] if item["slot"] >= 0)
     ok = not told["fault"] and len(there) > len(told["voters"]) // 2
     if as_json:
--- a/sorrelfront/cli/storm.py
+++ b/sorrelfront/cli/storm.py
@@ -57,7 +57,7 @@
     try:
         verdict = run.play(scenario, seed, keep, show)
     except stage.CannotPlay as fault:
-        click.echo(f"void: {fault}", err=True)
+        click.echo(f"void: {fault.told()}", err=True)
         raise SystemExit(run.VOID) from None
     except run.Ended as fault:
         click.echo(f"ended by {fault}; nothing is left running", err=True)
--- a/sorrelfront/daemon/channel.py
+++ b/sorrelfront/daemon/channel.py
@@ -17,6 +17,8 @@
 
 import msgspec
 
+from sorrelfront.errors import SorrelfrontError
+
 PACKET_MOST = 64 * 1024  # bytes of a packet; longer messages go in a memory descriptor
 MESSAGE_MOST = 16 * 1024 * 1024  # bytes; 10,000 servers with their estimates have below four million
 DESCRIPTORS_MOST = 40  # twice the listeners, in the middle of a reload, and a memory descriptor
@@ -28,9 +30,11 @@
 _decoder = msgspec.json.Decoder()
 
 
-class BadMessage(Exception):
+class BadMessage(SorrelfrontError):
     """A packet that does not say what it must."""
 
+    remedy = "Start supervisor and instances from one version of the program, by `serve --replace`."
+
 
 def pair() -> tuple[socket.socket, socket.socket]:
     """Both ends, not blocking."""
--- a/sorrelfront/daemon/configuration.py
+++ b/sorrelfront/daemon/configuration.py
@@ -22,6 +22,7 @@
 from msgspec import NODEFAULT, Meta
 from msgspec.structs import FieldInfo
 
+from sorrelfront.errors import SorrelfrontError
 from sorrelfront.lists import Malformed, parse_address
 from sorrelfront.messages import Address
 
@@ -50,9 +51,11 @@
         return f"{place}: {self.what}" if self.table or self.key else self.what
 
 
-class BadDocument(Exception):
+class BadDocument(SorrelfrontError):
     """A file that cannot be used, with every fault found in it."""
 
+    remedy = "Mend each key that is named, and try it with `sorrelfront check FILE` first."
+
     def __init__(self, path: Path, faults: list[Fault]) -> None:
         super().__init__(f"{path}: {len(faults)} faults")
         self.path = path
--- a/sorrelfront/daemon/control.py
+++ b/sorrelfront/daemon/control.py
@@ -19,6 +19,7 @@
 from typing import Any
 
 from sorrelfront.daemon.channel import Message, bind_private, is_owner
+from sorrelfront.errors import SorrelfrontError
 
 FRAME_MOST = 64 * 1024  # bytes, either way
 PEERS_MOST = 16  # connections at once; more are closed at once
@@ -30,9 +31,14 @@
 Handler = Callable[[Message], Awaitable[Message]]
 
 
-class Unavailable(Exception):
+class Unavailable(SorrelfrontError):
     """No daemon answers there, or not as one does."""
 
+    remedy = (
+        "Start the daemon by `sorrelfront serve FILE`, or name the FILE that the running "
+        "one was started with."
+    )
+
 
 class NobodyThere(Unavailable):
     """No daemon has the socket."""
--- a/sorrelfront/daemon/fleet.py
+++ b/sorrelfront/daemon/fleet.py
@@ -28,6 +28,7 @@
 from sorrelfront.daemon.processes import open_process, send_signal, start_ticks
 from sorrelfront.decisions import supervision
 from sorrelfront.decisions.supervision import Kill, Phase, Policy, Report, Start, Stop, Supervisor
+from sorrelfront.errors import SorrelfrontError
 from sorrelfront.fronts.http1 import BACKLOG, GOING_AWAY_MORE_S, GOING_AWAY_S
 from sorrelfront.messages import Address
 
@@ -37,13 +38,17 @@
 STOP_MORE_S = 1.0  # past the longest deadline and the listener's own time: a busy core, and the last steps
 
 
-class CannotStart(Exception):
+class CannotStart(SorrelfrontError):
     """A start that cannot be made, in one line."""
 
+    remedy = "Mend what is named, an address in use or a folder that cannot be written, and start again."
 
-class Unanswered(Exception):
+
+class Unanswered(SorrelfrontError):
     """An instance did not say in time; or it ended, if `ended`."""
 
+    remedy = "Look at the instance's log and at the load of this machine; it is started again by itself."
+
     def __init__(self, ended: bool) -> None:
         super().__init__("it ended" if ended else "no answer in time")
         self.ended = ended
--- a/sorrelfront/daemon/journal.py
+++ b/sorrelfront/daemon/journal.py
@@ -19,6 +19,7 @@
 
 from sorrelfront.daemon import records
 from sorrelfront.daemon.configuration import INSTANCES_MOST
+from sorrelfront.errors import SorrelfrontError
 
 log = logging.getLogger("sorrelfront.daemon")
 
@@ -45,9 +46,11 @@
     entries: list[Entry]
 
 
-class NoFolder(Exception):
+class NoFolder(SorrelfrontError):
     """A run folder that cannot be used, in one line."""
 
+    remedy = "Give the folder beside the control socket to the daemon's user alone, with mode 0700."
+
 
 def encode(journal: Journal) -> bytes:
     return records.seal(records.Kind.JOURNAL, msgspec.msgpack.encode(journal))
--- a/sorrelfront/daemon/records.py
+++ b/sorrelfront/daemon/records.py
@@ -19,6 +19,8 @@
 from enum import IntEnum
 from pathlib import Path
 
+from sorrelfront.errors import SorrelfrontError
+
 log = logging.getLogger("sorrelfront.daemon")
 
 MAGIC = b"SRLF"
@@ -38,9 +40,14 @@
     COPIES = 7
 
 
-class Spoilt(Exception):
+class Spoilt(SorrelfrontError):
     """Not a record that can be trusted, and why."""
 
+    remedy = (
+        "Nothing has to be done: the file is set aside, and written anew; if it comes "
+        "back, look at the disk."
+    )
+
 
 class Disk:
     """Every change that records make to files. Each step raises OSError."""
--- a/sorrelfront/daemon/supervisor.py
+++ b/sorrelfront/daemon/supervisor.py
@@ -467,5 +467,5 @@
     except KeyboardInterrupt:  # before there was anything to stop
         return 130
     except CannotStart as fault:
-        tell(f"{path}: {fault}")
+        tell(f"{path}: {fault.told()}")
         return 2
--- a/sorrelfront/daemon/takeover.py
+++ b/sorrelfront/daemon/takeover.py
@@ -19,15 +19,21 @@
 from sorrelfront.daemon import control
 from sorrelfront.daemon.adopting import receive_within
 from sorrelfront.daemon.channel import BadMessage, bind_private, prepare, receive, send
+from sorrelfront.errors import SorrelfrontError
 from sorrelfront.messages import Address
 
 ANSWER_WITHIN_S = 10.0  # for the old program to send what it has, or to let go
 PACKETS_MOST = 512  # one an instance, and the sockets
 
 
-class NoTakeover(Exception):
+class NoTakeover(SorrelfrontError):
     """The running program cannot be replaced now, in one line."""
 
+    remedy = (
+        "Look at `sorrelfront ctl FILE status` of the running program, and replace it "
+        "once it is ready."
+    )
+
 
 class Bereft(NoTakeover):
     """The running program ended while it handed over."""
--- a/sorrelfront/decisions/fleet/words.py
+++ b/sorrelfront/decisions/fleet/words.py
@@ -12,6 +12,8 @@
 import msgspec
 from msgspec import Meta
 
+from sorrelfront.errors import SorrelfrontError
+
 Address = tuple[str, int]
 
 DATAGRAM_MOST = 1_400  # bytes with everything: passes an Ethernet frame whole
@@ -144,9 +146,14 @@
 EXCHANGE_MOST = MEMBERS_MOST * (2 * NAME_MOST + 96)  # bytes of a Whole at the most
 
 
-class Unreadable(Exception):
+class Unreadable(SorrelfrontError):
     """Bytes that are no word, and why."""
 
+    remedy = (
+        "Bring the members to versions of the program that may stand in one fleet; until "
+        "then the word is left out."
+    )
+
 
 _word = msgspec.msgpack.Decoder(Word)
 _whole = msgspec.msgpack.Decoder(Whole | Said | Copy)
--- a/sorrelfront/decisions/learnt.py
+++ b/sorrelfront/decisions/learnt.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from sorrelfront.decisions.balancer import Balancer, Kind, Recent, Usual
+from sorrelfront.errors import SorrelfrontError
 
 VERSION = 1
 SERVERS_MOST = 10_000  # those heard from last; the others start as unheard of, as all do without a snapshot
@@ -25,9 +26,11 @@
 VALUE_MOST = 1e17  # Unix time is the largest figure here, below 2e15
 
 
-class Unusable(Exception):
+class Unusable(SorrelfrontError):
     """A snapshot that is not taken up, and why."""
 
+    remedy = "Nothing has to be done: estimates are learnt anew within seconds."
+
 
 def _recent(item: Recent, now: int) -> list[float]:
     return [item.usual.value, item.usual.count, item.value, now - item.stamp]
--- a/sorrelfront/fleet/envelope.py
+++ b/sorrelfront/fleet/envelope.py
@@ -17,6 +17,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from sorrelfront.errors import SorrelfrontError
+
 VERSION = 1
 HASH = 16
 OVERHEAD = 1 + HASH
@@ -25,9 +27,14 @@
 PERSON = b"sorrelfront-view"
 
 
-class BadKey(Exception):
+class BadKey(SorrelfrontError):
     """A key file that cannot be used, in one line."""
 
+    remedy = (
+        "Write one or two lines of 16 to 64 bytes into the key file, and make it this "
+        "user's alone with mode 0600."
+    )
+
 
 @dataclass(frozen=True, slots=True)
 class Seal:
--- a/sorrelfront/lab/demo.py
+++ b/sorrelfront/lab/demo.py
@@ -25,6 +25,7 @@
 from rich.table import Table
 
 from sorrelfront.daemon import control
+from sorrelfront.errors import SorrelfrontError
 from sorrelfront.lab.crowd import CLASSES, LOST, Crowd
 from sorrelfront.lab.listing import EphemeralListing, Listing, RegistryListing
 from sorrelfront.lab.shop import Book, Mode, Server
@@ -64,9 +65,11 @@
 """
 
 
-class CannotRun(Exception):
+class CannotRun(SorrelfrontError):
     """The demo could not be brought up, in one line."""
 
+    remedy = "Free the ports that are named, or run the demo on a machine with less beside it."
+
 
 @dataclass(frozen=True, slots=True)
 class Step:
--- a/sorrelfront/lab/storm/stage.py
+++ b/sorrelfront/lab/storm/stage.py
@@ -28,6 +28,7 @@
 from sorrelfront.daemon.processes import open_process, send_signal
 from sorrelfront.decisions.fleet.view import Settings
 from sorrelfront.decisions.fleet.view import bound_us as view_bound_us
+from sorrelfront.errors import SorrelfrontError
 from sorrelfront.fleet.copier import settings
 from sorrelfront.lab.crowd import Crowd
 from sorrelfront.lab.fleet.copies import bound_us
@@ -114,9 +115,14 @@
 TWIN = 1_000  # further on are the ports of a second daemon on a host
 
 
-class CannotPlay(Exception):
+class CannotPlay(SorrelfrontError):
     """A storm that could not be set up, in one line."""
 
+    remedy = (
+        "Look at the last lines of the log that are named; with processes left over, "
+        "play the storm again later."
+    )
+
 
 class _Book(Book):
     """The one book of all servers, as one of them writes it."""
--- a/sorrelfront/lists.py
+++ b/sorrelfront/lists.py
@@ -7,15 +7,21 @@
 from typing import Any
 
 from sorrelfront.decisions import interface as api
+from sorrelfront.errors import SorrelfrontError
 from sorrelfront.messages import Address, Update
 
 PORT = re.compile(r"[0-9]{1,5}")
 STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
 
 
-class Malformed(Exception):
+class Malformed(SorrelfrontError):
     """A list that does not say what it must."""
 
+    remedy = (
+        "Look at what the list service sends for this server: the fields and their form "
+        "stand in the protocol's page."
+    )
+
 
 def parse_address(text: Any) -> Address:
     """An IPv4 address and a port. Risk: a name would be looked up, and there is no DNS."""
--- a/sorrelfront/net/zookeeper.py
+++ b/sorrelfront/net/zookeeper.py
@@ -19,6 +19,7 @@
 from random import Random
 from typing import TypeVar
 
+from sorrelfront.errors import SorrelfrontError
 from sorrelfront.messages import Address
 from sorrelfront.net.jute import (
     FRAME_MOST,
@@ -66,9 +67,11 @@
     """The connection went before the answer: nobody knows whether it was done."""
 
 
-class NotDone(Exception):
+class NotDone(SorrelfrontError):
     """The service says no, by its error."""
 
+    remedy = "Give the path the rights that the operators' page names, or mend [membership] auth_file."
+
     def __init__(self, err: int) -> None:
         super().__init__(Err(err).name if err in Err.__members__.values() else f"error {err}")
         self.err = err
--- a/sorrelfront/platform/__main__.py
+++ b/sorrelfront/platform/__main__.py
@@ -125,7 +125,7 @@
         config = load(os.environ)
         asyncio.run(serve(config))
     except BadConfig as fault:
-        print(f"sorrelfront: {fault}", file=sys.stderr)
+        print(f"sorrelfront: {fault.told()}", file=sys.stderr)
         return 2
     return 0
 
--- a/sorrelfront/platform/config.py
+++ b/sorrelfront/platform/config.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from sorrelfront.errors import SorrelfrontError
 from sorrelfront.lists import Malformed, parse_address, parse_update
 from sorrelfront.messages import Address, Update
 from sorrelfront.platform.adapter import parse_settings
@@ -18,9 +19,14 @@
 LEAST_SOCKETS = 64  # fewer leave no room for a client and a backend beside what is always open
 
 
-class BadConfig(Exception):
+class BadConfig(SorrelfrontError):
     """A start that cannot be made, in one line."""
 
+    remedy = (
+        "Mend the value that is named, in the file that BALANCER_CONFIG names, and start "
+        "or reload again."
+    )
+
 
 def load(environ: Mapping[str, str], again: bool = False) -> Config:
     """The configuration that the environment names. `again`: at a reload the file alone tells where discovery
--- a/sorrelfront/platform/orders_file.py
+++ b/sorrelfront/platform/orders_file.py
@@ -19,6 +19,7 @@
 from pathlib import Path
 
 from sorrelfront.decisions.orders import ID_MOST, OUT_MOST
+from sorrelfront.errors import SorrelfrontError
 
 log = logging.getLogger(__name__)
 
@@ -28,9 +29,11 @@
 BYTES_MOST = 4 * 1024 * 1024  # above OUT_MOST ids of ID_MOST characters at four bytes less than a third
 
 
-class Full(Exception):
+class Full(SorrelfrontError):
     """More servers are out by hand than may be."""
 
+    remedy = "Put servers back that need not be out, or take them out of the list itself."
+
 
 class OrdersFile:
     """The ids that are out by hand. Without a folder they are kept in memory alone."""
--- a/tests/test_floors.py
+++ b/tests/test_floors.py
@@ -10,6 +10,7 @@
 PACKAGE = ROOT / "sorrelfront"
 # From the ground up; those in one line may not import each other, but for what ALSO says.
 FLOORS = [
+    ["errors"],
     ["decisions"],
     ["messages", "lists", "terms", "signals"],
     ["net"],
