--- a/sorrelfront/decisions/fleet/copies.py
+++ b/sorrelfront/decisions/fleet/copies.py
@@ -309,13 +309,6 @@
             yield self.entries[name]
         yield from gone[place:]
 
-    def copy(self) -> Book:
-        other = Book(self.id, self.since)
-        other.seq, other.sum, other.floor = self.seq, self.sum, self.floor
-        other.entries, other.deleted = dict(self.entries), OrderedDict(self.deleted)
-        other.covers, other._order = dict(self.covers), SortedList(self._order)
-        return other
-
 
 def _rank(item: Item) -> tuple[tuple[int, int], bytes]:
     """Of two lives' words on one key the later written holds; the same everywhere."""
