--- a/sorrelfront/daemon/configuration.py
+++ b/sorrelfront/daemon/configuration.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import datetime
 import difflib
 import os
 import re
@@ -233,7 +234,88 @@
     copies_kb_s: Annotated[float, Meta(ge=1, le=1_000_000)] = 512.0  # given to those that catch up
 
 
-TOP = ("daemon", "log", "listeners", "classes", "limits", "rules", "membership", "fleet")
+SITE = re.compile(r"[a-z0-9][a-z0-9-]{0,63}")
+PUBLIC_KEY = re.compile(r"ed25519:[A-Za-z0-9+/]{43}=")
+RELATIONS = ("customer", "peer", "provider")
+# A lifetime has at least so many times between two asks, so that an offer comes in time over five hops.
+LIFETIME_LEAST = 8
+
+
+def _site(value: str) -> str | None:
+    return None if SITE.fullmatch(value) else "is not a site's name: small letters, figures and dashes"
+
+
+def _sites(value: list[Any]) -> str | None:
+    wrong = [item for item in value if not isinstance(item, str) or _site(item) is not None]
+    return f"has {_shown(wrong[0])}, which is not a site's name" if wrong else None
+
+
+def _keys(value: list[Any]) -> str | None:
+    wrong = [item for item in value if not isinstance(item, str) or PUBLIC_KEY.fullmatch(item) is None]
+    if wrong:
+        return f"has {_shown(wrong[0])}, which is not ed25519: and 32 bytes in base64"
+    return None if 1 <= len(value) <= 2 else "needs one key, or two while one takes the other's place"
+
+
+def _names(value: list[Any]) -> str | None:
+    wrong = [item for item in value if not isinstance(item, str) or not 0 < len(item) <= 64]
+    return f"has {_shown(wrong[0])}, which is no name" if wrong else None
+
+
+def _moment(value: Any) -> str | None:
+    good = value is None or (isinstance(value, datetime.datetime) and value.tzinfo is not None)
+    return None if good else "is not a date and time with its zone, as in 2026-12-24T18:00:00+03:00"
+
+
+class SiteTable(Table, kw_only=True):
+    """[site]: this site among partners. Off without it."""
+
+    CHECKS = {"name": _site, "listen": _address, "gateway": _address}
+
+    name: str
+    key_file: Annotated[str, Meta(min_length=1, max_length=1_024)]
+    listen: str  # where partners ask, of the first instance; the others have the ports that follow
+    gateway: str  # where their requests come, likewise
+    renew_ms: Annotated[float, Meta(ge=50, le=60_000)] = 1_000.0
+    stale_ms: Annotated[float, Meta(ge=100, le=600_000)] = 5_000.0
+
+
+class PartnerTable(Table, kw_only=True):
+    """[partners.NAME]: a site that is known by its key, and one that is asked if it has addresses."""
+
+    CHECKS = {"keys": _keys, "at": _hosts, "gateways": _hosts, "providers": _sites}
+
+    keys: Annotated[list[Any], Meta(max_length=8)]
+    at: Annotated[list[Any], Meta(max_length=64)] = []  # `listen` of each of its gateways
+    # Where requests to each of these go, if not where the gateway itself says: through a tunnel.
+    gateways: Annotated[list[Any], Meta(max_length=64)] = []
+    relation: Literal["customer", "peer", "provider"] = "peer"  # what it is to this site
+    cost: Annotated[int, Meta(ge=1, le=1_000_000)] = 1
+    providers: Annotated[list[Any], Meta(max_length=64)] = []  # of its own, as far as is known
+
+
+class OfferTable(Table, kw_only=True):
+    """[offers.NAME]: what each gateway of this site lends."""
+
+    CHECKS = {"to": _names, "onward": _names, "classes": _names, "until": _moment}
+
+    classes: Annotated[list[Any], Meta(min_length=1, max_length=256)]
+    to: Annotated[list[Any], Meta(max_length=256)] = []  # sites, or "members" for all; nobody
+    onward: Annotated[list[Any], Meta(max_length=256)] = []  # who may pass it on, likewise
+    until: Any = None
+    rate: Annotated[int, Meta(ge=1, le=1_000_000)] = 1_000_000  # requests a second at most, by each gateway
+    cost: Annotated[int, Meta(ge=1, le=1_000_000)] = 1
+    capacity: Annotated[int, Meta(ge=1, le=1_000_000)] = 64  # requests at once, by each gateway
+    lifetime_ms: Annotated[float, Meta(ge=400, le=86_400_000)] = 15_000.0
+    group: Annotated[str, Meta(max_length=64)] = ""  # who drops repeats of a key; the gateway's own if empty
+
+
+MEMBERS = "members"  # all sites whose keys are known
+
+TOP = (
+    "daemon", "log", "listeners", "classes", "limits", "rules", "membership", "fleet", "site", "partners",
+    "offers",
+)  # fmt: skip
 
 
 @dataclass(frozen=True, slots=True)
@@ -249,6 +331,9 @@
     rules: dict[str, Any]
     membership: dict[str, Any]
     fleet: dict[str, Any] | None = None  # None: the instances know of nobody
+    site: dict[str, Any] | None = None  # None: no partners either
+    partners: dict[str, dict[str, Any]] = dataclasses.field(default_factory=dict)
+    offers: dict[str, dict[str, Any]] = dataclasses.field(default_factory=dict)
     text: bytes = b""  # the file as it was read
 
     @property
@@ -416,6 +501,9 @@
         rules=checker.table(top.get("rules", {}), "rules", Rules),
         membership=checker.table(top.get("membership", {}), "membership", Membership),
         fleet=checker.table(top["fleet"], "fleet", FleetTable) if "fleet" in top else None,
+        site=checker.table(top["site"], "site", SiteTable) if "site" in top else None,
+        partners=checker.named(top["partners"], "partners", PartnerTable) if "partners" in top else {},
+        offers=checker.named(top["offers"], "offers", OfferTable) if "offers" in top else {},
     )
     _cross(document, checker)
     if checker.faults:
@@ -439,6 +527,79 @@
     _cross_membership(document.membership, checker)
     if document.fleet is not None and document.fleet["listen"]:
         _cross_fleet(document.fleet, document, checker)
+    _cross_site(document, checker)
+
+
+def _cross_site(document: Document, checker: Checker) -> None:
+    site = document.site
+    if site is None:
+        for name in ("partners", "offers"):
+            if getattr(document, name):
+                checker.fault(name, "", "goes with [site] only")
+        return
+    if document.fleet is None:
+        checker.fault("site", "", "needs [fleet]: the members of a site know of each other")
+    count = document.daemon["instances"]
+    taken = {item["address"]: f"listeners.{name}" for name, item in document.listeners.items()}
+    for key in ("listen", "gateway"):
+        if not site[key]:
+            continue
+        host, port = parse_address(site[key])
+        if port + count - 1 > 65_535:
+            checker.fault("site", key, f"has no {count} ports from {port} on, one for each instance")
+        if not host.startswith("127."):
+            # Risk: words between sites are signed, and requests are not hidden from who reads the line.
+            checker.fault("site", key, "is no loopback address: between machines, lead it through a tunnel")
+        for number in range(count):
+            other = taken.setdefault(f"{host}:{port + number}", f"site.{key}")
+            if other != f"site.{key}":
+                checker.fault("site", key, f"with the ports that follow is that of {other} too")
+    _cross_partners(document, site, checker)
+    _cross_offers(document, site, checker)
+
+
+def _cross_partners(document: Document, site: dict[str, Any], checker: Checker) -> None:
+    from sorrelfront.decisions.sites.offers import circle
+
+    partners = document.partners
+    owners: dict[str, str] = {}
+    for name, table in partners.items():
+        where = f"partners.{name}"
+        if _site(name) is not None:
+            checker.fault(where, "", f"{_site(name)}: {_shown(name)}")
+        if name == site["name"]:
+            checker.fault(where, "", "is this site itself")
+        if table["gateways"] and len(table["gateways"]) != len(table["at"]):
+            checker.fault(where, "gateways", "must have as many addresses as `at`, in the same order")
+        for key in table["keys"] or ():
+            other = owners.setdefault(key, name)
+            if other != name:
+                checker.fault(where, "keys", f"has one of partners.{other}: they could speak as each other")
+    providers = {name: frozenset(table["providers"] or ()) for name, table in partners.items()}
+    for name, table in partners.items():
+        if table["relation"] == "customer":
+            providers[name] |= {site["name"]}
+    own = frozenset(name for name, table in partners.items() if table["relation"] == "provider")
+    found = circle({**providers, site["name"]: own})
+    if found:
+        way = " -> ".join((*found, found[0]))
+        checker.fault("partners", "relation", f"makes a circle in which each lends to the next: {way}")
+
+
+def _cross_offers(document: Document, site: dict[str, Any], checker: Checker) -> None:
+    for name, table in document.offers.items():
+        where = f"offers.{name}"
+        for cls in table["classes"] or ():
+            if cls not in document.classes:
+                checker.fault(where, "classes", f"has {_shown(cls)}, which is not in [classes]")
+        for key in ("to", "onward"):
+            for other in table[key] or ():
+                if other != MEMBERS and other not in document.partners:
+                    checker.fault(where, key, f"has {_shown(other)}, which is not in [partners]")
+        if table["lifetime_ms"] < LIFETIME_LEAST * site["renew_ms"]:
+            checker.fault(where, "lifetime_ms", f"must be at least {LIFETIME_LEAST} times [site] renew_ms")
+        if len(name) > 64:
+            checker.fault(where, "", "has a name of more than 64 characters")
 
 
 def cross_classes(classes: dict[str, dict[str, Any]], checker: Checker) -> None:
@@ -538,6 +699,7 @@
         "source": membership["source"],
         "zookeeper": _zookeeper(document),
         "fleet": _fleet(document, number),
+        "site": _site_terms(document, number),
         "seed": f"{(daemon['seed'] * INSTANCES_MOST + number) & (2**64 - 1):x}",
         "limits": {"memory_mb": daemon["memory_mb"], "sockets": daemon["sockets"]},
         "known": known,
@@ -598,6 +760,27 @@
     return own
 
 
+def _site_terms(document: Document, number: int) -> dict[str, Any] | None:
+    """What one instance goes by as a gateway of its site: addresses with its own ports."""
+    site = document.site
+    if site is None:
+        return None
+    own = dict(site)
+    for key in ("listen", "gateway"):
+        host, port = parse_address(site[key])
+        own[key] = f"{host}:{port + number}"
+    own["member"] = f"{document.daemon['name']}/i{number}"
+    own["key_file"] = str(document.path.parent.absolute() / site["key_file"])
+    state = document.state_folder
+    own["record"] = str(state.absolute() / f"site-i{number}") if state is not None else ""
+    own["partners"] = document.partners
+    own["offers"] = {
+        name: table | {"until": None if table["until"] is None else table["until"].timestamp()}
+        for name, table in document.offers.items()
+    }
+    return own
+
+
 def _zookeeper(document: Document) -> dict[str, Any] | None:
     membership = document.membership
     if membership["source"] != "zookeeper":
--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -44,6 +44,7 @@
 from sorrelfront.upstreams.http1 import Upstream
 
 if TYPE_CHECKING:
+    from sorrelfront.daemon.border import Frontier
     from sorrelfront.daemon.policies import Governed, Policy
 
 log = logging.getLogger("sorrelfront.instance")
@@ -99,6 +100,7 @@
         self._seat: int | None = None  # among the instances, if the service says
         self._fellow: Fellow | None = None  # among the members of its fleet, if the file has one
         self._governed: Governed | None = None  # by the fleet's policy, if it has voters
+        self._frontier: Frontier | None = None  # with partner sites, if the file has [site]
         self._answering_policy: set[asyncio.Task[None]] = set()
         self._leave = False  # the fleet is told that it goes for good
         self.going_away = asyncio.Event()
@@ -272,7 +274,15 @@
         self._bodies = BodyBudget(config.memory_bytes)
         self._table = table  # says which source it is
         governed = table.get("fleet") is not None and table["fleet"]["voters"]
-        self._agent = self._gated(config, upstream) if governed else Agent(config, upstream, self._source)
+        if table.get("site") is not None:
+            from sorrelfront.daemon.border import Frontier
+
+            self._frontier = Frontier(table["site"])
+            self._agent = self._frontier.agent(config, upstream, self._source, governed)
+        elif governed:
+            self._agent = self._gated(config, upstream)
+        else:
+            self._agent = Agent(config, upstream, self._source)
         self._config = config
         self._agent.start()
         if table.get("fleet") is not None:
@@ -281,6 +291,8 @@
                 self._fellow.copy(table["source"] == "registry", self._tell_list)
             if governed:
                 self._govern(table)
+        if self._frontier is not None:
+            self._frontier.open(config, self._bodies)
         if config.known.backends:
             learnt, self._learnt = self._learnt, None
             self._take_up(learnt)
@@ -382,6 +394,8 @@
             self._ephemeral.change(ephemeral.terms(table["zookeeper"]))
         if self._fellow is not None and table.get("fleet") is not None:
             self._fellow.change(table["fleet"])
+        if self._frontier is not None and table.get("site") is not None:
+            self._frontier.change(table["site"], config)
         self._agent.reload(config)
         self._table, self._config = table, config
         if self._governed is not None and self._fellow is not None and self._fellow.council is not None:
@@ -448,6 +462,8 @@
             figures["fleet"] = self._fellow.figures()
             if self._governed is not None:
                 figures["fleet"]["requests"] = self._gate_figures()
+            if self._frontier is not None:
+                figures["site"] = self._frontier.figures()
             point = self._fellow.seat()
             if point is not None:
                 agent.place(point, places.POINTS)
@@ -479,6 +495,8 @@
             return
         if not self.at_once:
             ends = [item.close(self.others) for item in self._listeners.values()]
+            if self._frontier is not None:
+                ends.append(self._frontier.close())
             closing = {*map(asyncio.create_task, ends), *self._leaving}
             while closing and not self.at_once:
                 _, closing = await asyncio.wait(closing, timeout=0.05)
@@ -487,6 +505,8 @@
         if self.at_once:
             agent.fail_all()
             await asyncio.sleep(FLUSH_S)
+        if self._frontier is not None:
+            await self._frontier.end()
         agent.close()
 
     def shut(self) -> None:
--- a/sorrelfront/daemon/records.py
+++ b/sorrelfront/daemon/records.py
@@ -38,6 +38,7 @@
     VOTE = 5
     HELD = 6
     COPIES = 7
+    SITE = 8
 
 
 class Spoilt(SorrelfrontError):
--- a/sorrelfront/daemon/reload.py
+++ b/sorrelfront/daemon/reload.py
@@ -90,12 +90,16 @@
         for table, key in FIXED:
             if getattr(document, table)[key] != getattr(now, table)[key]:
                 return f"[{table}] {key}: takes a restart"
-        fixed = ("name", "listen", "advertise", "voters", "lease_ms")
-        if (document.fleet is None) != (now.fleet is None):
-            return "[fleet]: takes a restart"
-        for key in fixed if document.fleet is not None and now.fleet is not None else ():
-            if document.fleet[key] != now.fleet[key]:  # type: ignore[index]
-                return f"[fleet] {key}: takes a restart"
+        for table, keys in (
+            ("fleet", ("name", "listen", "advertise", "voters", "lease_ms")),
+            ("site", ("name", "listen", "gateway")),
+        ):
+            one, other = getattr(document, table), getattr(now, table)
+            if (one is None) != (other is None):
+                return f"[{table}]: takes a restart"
+            for key in keys if one is not None else ():
+                if one[key] != other[key]:
+                    return f"[{table}] {key}: takes a restart"
         return None
 
     async def _reload(self) -> Message:
--- a/sorrelfront/decisions/sites/routes.py
+++ b/sorrelfront/decisions/sites/routes.py
@@ -122,6 +122,7 @@
     cost: int = 1
     capacity: int = 100
     group: str = ""
+    until_us: int | None = None  # when it ends, on the border's clock
 
 
 @dataclass(frozen=True, slots=True)
@@ -290,11 +291,28 @@
         return signed(
             Offer(
                 self.site, self.gateway, item.name, epoch, birth, version, stamp_ms, item.cost, item.capacity,
-                item.group, item.terms,
+                item.group, self._terms(item),
             ),
             self._sign,
         )  # fmt: skip
 
+    def _terms(self, item: Lent) -> Terms:
+        """As they are told now: nobody who hears them now may believe them for longer than they hold."""
+        if item.until_us is None:
+            return item.terms
+        left_ms = max(0, item.until_us - self.now) // MS
+        return msgspec.structs.replace(item.terms, left_ms=min(item.terms.left_ms, left_ms))
+
+    def _stamp(self, name: str, item: Lent, offer: Offer) -> None:
+        """Have it say anew that it holds. One whose end is near says so in another state of it."""
+        version = offer.version
+        if self._terms(item) != offer.terms:
+            self._version += 1
+            self.told += 1
+            version = self._version
+        self._own[name] = (item, self._made(item, version))
+        self._takings += 1
+
     def live(self, life: tuple[int, int], now: int) -> None:
         """Go on as another life: somebody remembers a later one of this gateway's name."""
         self.now = max(now, self.now)
@@ -302,16 +320,20 @@
         self._own = {name: (item, self._made(item, self._version)) for name, (item, _) in self._own.items()}
         self.told += 1
 
-    @property
-    def offers(self) -> dict[str, Lent]:
-        return {name: item for name, (item, _) in self._own.items()}
+    def offers(self, now: int) -> dict[str, Lent]:
+        """What is lent at this moment, by the file."""
+        return {
+            name: item
+            for name, (item, _) in self._own.items()
+            if item.until_us is None or now < item.until_us
+        }
 
     # Asking
 
-    def peer(self, name: str, partner: str) -> None:
-        """There is such a gateway."""
+    def peer(self, name: str, partner: str, first: int = 0) -> None:
+        """There is such a gateway. `first`: the number of the first ask, drawn by who can."""
         if partner in self.partners:
-            self.peers.setdefault(name, Peer(partner))
+            self.peers.setdefault(name, Peer(partner, first))
 
     def drop(self, name: str) -> None:
         if self.peers.pop(name, None) is not None:
@@ -536,7 +558,7 @@
     def _stamp_us(self, offer: Offer) -> int:
         """When this offer has to say anew that it holds: after a quarter of its lifetime, so that the rest is
         there for the way to those who have it from others."""
-        return self._began_us + (offer.stamp_ms + offer.terms.left_ms // STAMP_PART) * MS
+        return self._began_us + (offer.stamp_ms + max(250, offer.terms.left_ms // STAMP_PART)) * MS
 
     def on_time(self, now: int) -> None:
         """Let go of what has had its time, and have own offers say that they still hold."""
@@ -553,10 +575,9 @@
                 flap.out = False
             if level < 0.1:
                 del self._flaps[key]
-        for name, (item, offer) in self._own.items():
+        for name, (item, offer) in list(self._own.items()):
             if self._stamp_us(offer) <= self.now:
-                self._own[name] = (item, self._made(item, offer.version))
-                self._takings += 1
+                self._stamp(name, item, offer)
         self._forget()
         self._settle()
 
@@ -618,19 +639,26 @@
             found = self._lanes[key] = self._ways(cls, path)
             while len(self._lanes) > LANES_MOST:
                 self._lanes.popitem(last=False)
-        return tuple(route for route in found if self._still(route, now)) if found else found
+        return tuple(route for route in found if self.holds(route, now)) if found else found
 
-    def _still(self, route: Route, now: int) -> bool:
-        """Risk: between two looks at the time a route would be used past its lifetime."""
+    def holds(self, route: Route, now: int) -> bool:
+        """Whether it is still what it was, at this moment. Risk: between two looks at the time a route would
+        be used past its lifetime."""
         peer = self.peers.get(route.peer)
         held = peer.held.get(route.id) if peer is not None else None
-        return held is not None and held.expires_us > now
+        if held is None or held.expires_us <= now or held.place != route.place:
+            return False
+        newest = self.newest.get(route.id)
+        return held.chain.terms == route.terms and (newest is None or newest[:2] <= held.chain.offer.age)
 
     def _ways(self, cls: str, path: tuple[str, ...]) -> tuple[Route, ...]:
         usable = (None, Why.NOT_LENT) if path else (None,)  # what is not lent here may be lent to its origin
-        good = [
-            route for route in self.table if route.state in usable and self._permits(route, cls, path)
-        ] or [route for route in self.table if route.state is Why.STALE and self._permits(route, cls, path)]
+        good = [route for route in self.table if route.state in usable and self._permits(route, cls, path)]
+        if not good:
+            # Risk: one hostile site that comes and goes would have a neighbour's only good way damped further
+            # on. What is damped is told to nobody, and used if there is nothing else.
+            last = (Why.DAMPED, Why.STALE)
+            good = [route for route in self.table if route.state in last and self._permits(route, cls, path)]
         seen: set[OfferId] = set()
         chosen = []
         for route in good:
@@ -685,7 +713,7 @@
         if known is not None and known[0] == state:
             return known[1:]
         chains = [
-            Chain(offer) for _, (item, offer) in sorted(self._own.items()) if _concerns(item.terms, partner)
+            Chain(offer) for _, (_, offer) in sorted(self._own.items()) if _concerns(offer.terms, partner)
         ]
         if not self.circle:  # else nothing is passed on: no order of events need settle
             chains += self._carried(partner, CHAINS_MOST - len(chains))
--- a/sorrelfront/lab/sites/routes.py
+++ b/sorrelfront/lab/sites/routes.py
@@ -370,7 +370,7 @@
         now = self.clock(node)
         border = node.border
         ways = border.ways(cls, now, path)
-        found = node.passage.judge(path[-1], path, cls, border.partners, border.offers, bool(ways), now)
+        found = node.passage.judge(path[-1], path, cls, border.partners, border.offers(now), bool(ways), now)
         if not isinstance(found, In):
             self.turned += 1
             return
@@ -550,13 +550,15 @@
     def _oracle(self) -> Iterator[str]:
         """Each border has the routes that follow from the files alone."""
         want = oracle(self.sites)
+        # Beside a hostile site that never rests, a neighbour's way may be damped, and is used all the same.
+        usable = (None, Why.NOT_LENT, *((Why.DAMPED,) if HOSTILE in self.sites else ()))
         for node in self.nodes.values():
             if node.site == HOSTILE:
                 continue
             got = {
                 (route.id, route.peer): (route.sites, route.rank)
                 for route in node.border.table
-                if route.state in (None, Why.NOT_LENT) and HOSTILE not in route.sites
+                if route.state in usable and HOSTILE not in route.sites
             }
             expected = want[node.site]
             # A neighbour may prefer what the hostile site passes on by right, and then tells that way.
--- a/sorrelfront/lab/storm/checkers.py
+++ b/sorrelfront/lab/storm/checkers.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from sorrelfront.lab.storm import sites
 from sorrelfront.lab.storm.history import Event
 
 DRAIN_S = 0.5
@@ -397,6 +398,11 @@
     return found
 
 
+def partners(events: list[Event]) -> list[Breach]:
+    """What crosses between sites, and what is served for others, is what the owners' terms allow."""
+    return [Breach("partners", t, what) for t, what in sites.check(events)]
+
+
 CHECKERS: dict[str, Checker] = {
     "answered": answered,
     "in-time": in_time,
@@ -410,6 +416,7 @@
     "views": views,
     "policies": policies,
     "copies": copies,
+    "partners": partners,
 }
 
 
--- a/sorrelfront/lab/storm/links.py
+++ b/sorrelfront/lab/storm/links.py
@@ -166,6 +166,8 @@
         came = time.monotonic()
         if self is pair.near:
             pair.sent_at = came
+            if pair.relay.sent is not None:
+                pair.relay.sent(pair.number, data)
         due = self.link.due(came, len(data), pair.relay.network.rng)
         other = self.other
         if due <= came and not self.waiting and not self.link.cut and not other.full and other.transport:
@@ -359,6 +361,8 @@
         self.src, self.dst = src, dst
         self.target = target
         self.passed = passed
+        # Called with a connection's number and what `src` sends on it, as it comes.
+        self.sent: Callable[[int, bytes], None] | None = None
         self.address: Address = address or (target[0], 0)
         self._hosts = hosts
         self.down = False  # nobody listens behind it
--- a/sorrelfront/lab/storm/scenario.py
+++ b/sorrelfront/lab/storm/scenario.py
@@ -39,6 +39,7 @@
         "twin",
         "propose",
         "abandon",
+        "terms",
         "power",
         "clock-step",
         "clock-fast",
@@ -72,6 +73,7 @@
         "rekey",
         "propose",
         "abandon",
+        "terms",
         "restart",
         "disk-torn",
         "disk-back",
@@ -86,7 +88,7 @@
         "clock-step": (-3_600.0, 3_600.0), "clock-fast": (50.0, 200.0), "disk-slow": (10.0, 500.0),
         "delay": (1.0, 50.0), "narrow": (20_000.0, 1_000_000.0), "datagrams": (0.01, 0.3),
         "server-slow": (2.0, 10.0),
-        "rekey": (1.0, 2.0), "propose": (1.0, 99.0),
+        "rekey": (1.0, 2.0), "propose": (1.0, 99.0), "terms": (1.0, 2.0),
     }  # fmt: skip
     return {
         name: Kind(part, name not in once, sizes.get(name)) for part, names in PARTS.items() for name in names
@@ -110,6 +112,7 @@
     state: bool = True  # a state folder for each host
     fleet: bool = False  # [fleet]: the instances keep a view of each other
     copies: bool = False  # and copies of what matters; needs `fleet`
+    sites: Annotated[int, Meta(ge=0, le=4)] = 0  # partner sites that share hosts and servers out evenly
     probe_ms: Annotated[float, Meta(ge=50, le=10_000)] = 200.0  # of the view
     voters: Annotated[int, Meta(ge=0, le=7)] = 0  # the first instances of so many hosts vote on one policy
     lease_ms: Annotated[float, Meta(ge=500, le=60_000)] = 1_500.0
@@ -186,7 +189,7 @@
         if kind.part == "link":
             return {f"{kind.part}:{src}>{dst}" for src, dst in self.pairs}
         if kind.part == "host":
-            apart = self.what.startswith(("clock", "disk", "rekey", "twin", "propose", "abandon"))
+            apart = self.what.startswith(("clock", "disk", "rekey", "twin", "propose", "abandon", "terms"))
             group = self.what.partition("-")[0] if apart else "process"
             return {f"{group}:{name}" for name in self.hosts}
         return {f"{kind.part}:{name}" for name in self.to or ("list",)}
@@ -282,6 +285,11 @@
         checker.fault("storm", "voters", "needs fleet = true, and as many hosts")
     if made.storm["copies"] and not made.storm["fleet"]:
         checker.fault("storm", "copies", "needs fleet = true")
+    sites = made.storm["sites"]
+    if sites and not made.storm["fleet"]:
+        checker.fault("storm", "sites", "needs fleet = true")
+    if sites and (sites < 2 or made.storm["hosts"] % sites or made.storm["servers"] % sites):
+        checker.fault("storm", "sites", "must be two to four, and divide hosts and servers")
     faults = _faults(made, top.get("faults", []), checker)
     if made.draw is not None:
         _check_draw(made.draw, made, checker)
@@ -343,8 +351,10 @@
         checker.fault(name, "at", f"goes on after the end at {made.storm['seconds']:g} s")
     if what in ("kill-instance",) and values["part"] >= made.storm["instances"]:
         checker.fault(name, "part", f"there are {made.storm['instances']} instances")
-    if kind.size is not None and not values["size"]:
+    if kind.size is not None and not values["size"] and what != "terms":
         checker.fault(name, "size", f"is missing: {what!r} has one, such as {kind.size[1]:g}")
+    if what == "terms" and not made.storm["sites"]:
+        checker.fault(name, "what", "'terms' needs [storm] sites")
     if what in ("propose", "abandon") and not made.storm["voters"]:
         checker.fault(name, "what", f"{what!r} needs [storm] voters")
     if made.storm["platform"] and what in DAEMONS_ONLY:
@@ -425,6 +435,13 @@
     to: tuple[str, ...] = ()
     if what in ("power", "ring"):
         hosts = tuple(made.hosts)
+    elif made.storm["sites"] and (what == "terms" or (kind.part == "link" and rng.random() < 0.7)):
+        # A whole site, and links between sites more often than those to its own servers.
+        size_of = len(made.hosts) // made.storm["sites"]
+        groups = [made.hosts[at : at + size_of] for at in range(0, len(made.hosts), size_of)]
+        one, other = rng.permutation(len(groups))[:2]
+        hosts = tuple(groups[one])
+        to = tuple(groups[other]) if kind.part == "link" else ()
     elif kind.part == "link":
         to = [tuple(made.servers), ("list",), (*made.servers, "list"), (str(rng.choice(made.servers)),)][
             int(rng.integers(0, 4))
@@ -436,7 +453,9 @@
     elif kind.part == "list":
         hosts = ()
     size = 0.0
-    if what == "clock-step":
+    if what == "terms":
+        size = float(rng.integers(0, 3))
+    elif what == "clock-step":
         size = round(float(rng.uniform(*kind.size or (0, 0))), 3)
     elif kind.size is not None:
         size = round(float(np.exp(rng.uniform(*np.log(kind.size)))), 4)
--- a/sorrelfront/lab/storm/stage.py
+++ b/sorrelfront/lab/storm/stage.py
@@ -34,7 +34,7 @@
 from sorrelfront.lab.fleet.copies import bound_us
 from sorrelfront.lab.http1 import Registry, member, table
 from sorrelfront.lab.shop import Book, Mode, Server
-from sorrelfront.lab.storm import disk, launch
+from sorrelfront.lab.storm import disk, launch, sites
 from sorrelfront.lab.storm.history import History
 from sorrelfront.lab.storm.links import Network, TcpRelay, UdpRelay
 from sorrelfront.lab.storm.processes import MARK, Keeper, Owned, kill_all, marked, signal_all
@@ -267,6 +267,7 @@
         self.phases: dict[str, str] = {}  # of its instances, as they were told last
         self.twin: Owned | None = None
         self.held = 1_000
+        self.terms = 0  # which state of its site's offers its file has
         self.moved = False  # its members have other addresses than at first
         self._spinners: list[Owned] = []
         self._pipes: list[asyncio.ReadTransport] = []
@@ -275,6 +276,12 @@
     def wanted(self) -> int:
         return 1 if self.stage.platform else int(self.stage.scenario.storm["instances"])
 
+    @property
+    def site(self) -> int:
+        """From 1; 0 if there are none."""
+        storm = self.stage.scenario.storm
+        return sites.site_of(self.number, storm["hosts"], storm["sites"]) if storm["sites"] else 0
+
     @property
     def state(self) -> Path:
         return self.folder / "state"
@@ -308,6 +315,8 @@
                 deadline_ms=scenario.load["deadline_ms"],
                 registry=self._place("list"),
             )
+            if self.site:
+                text += self._partners()
             if scenario.storm["voters"]:
                 text = text.replace("repeat =", f'on_isolation = "{scenario.storm["isolation"]}"\nrepeat =')
         fresh = self.path.with_suffix(".new")
@@ -354,13 +363,15 @@
             self.rekey(0)
         # By two hosts, so that no one of them has to be there; far apart, so that each side of a cut has one.
         count = len(self.stage.scenario.hosts)
-        others = [f"127.0.{self.stage.block}.{number}" for number in range(1, count + 1)]
+        numbers = [number for number in range(1, count + 1) if self.stage.same_site(number, self.number)]
+        others = [f"127.0.{self.stage.block}.{number}" for number in numbers]
         others.remove(self.ip)
         others = [*others[:1], *others[1:][-1:]]
         probe_ms = self.stage.scenario.storm["probe_ms"]
         more = TWIN if self.moved else 0
         text = FLEET.format(
-            name=self.stage.mark, ip=self.ip, listen=VIEW_PORT + more, advertise=VIEW_RELAY_PORT + more,
+            name=f"{self.stage.mark}{self.site or ''}", ip=self.ip, listen=VIEW_PORT + more,
+            advertise=VIEW_RELAY_PORT + more,
             join=", ".join(f'"{ip}:{VIEW_RELAY_PORT}"' for ip in others), probe_ms=probe_ms,
             answer_ms=probe_ms / 2,
         )  # fmt: skip
@@ -372,6 +383,45 @@
             text += VOTERS.format(voters=names, lease_ms=self.stage.scenario.storm["lease_ms"])
         return text
 
+    def _partners(self) -> str:
+        """Its site's tables; other sites' gateways stand in them by the addresses of this host's relays."""
+        storm = self.stage.scenario.storm
+        places: dict[int, list[tuple[str, str]]] = {}
+        for other in self.stage.hosts.values():
+            for at in range(storm["instances"]):
+                if other.site != self.site:
+                    pair = (f"words {other.name} {at}", f"requests {other.name} {at}")
+                    places.setdefault(other.site, []).append((self._place(pair[0]), self._place(pair[1])))
+        assert self.stage.keyring is not None
+        key = self.stage.keyring.folder / f"site{self.site}.key"
+        return sites.text(self.site, storm["sites"], self.ip, key, self.stage.keyring, self.terms, places)
+
+    def open_border(self) -> None:
+        """Relays to all other sites' gateways."""
+        network, add = self.stage.network, self.stage.history.add
+        for other in self.stage.hosts.values():
+            if other.site == self.site:
+                continue
+            for at in range(self.stage.scenario.storm["instances"]):
+                target = (other.ip, sites.WORDS_PORT + at)
+                self.relays[f"words {other.name} {at}"] = TcpRelay(network, self.name, other.name, target)
+                target = (other.ip, sites.REQUESTS_PORT + at)
+                relay = TcpRelay(network, self.name, other.name, target)
+                relay.sent = sites.Crossing(self.name, other.name, add)
+                self.relays[f"requests {other.name} {at}"] = relay
+
+    async def go_by_terms(self, state: int) -> None:
+        """Its file has its site's offers in this state from now on."""
+        self.terms = state
+        self.write()
+        written = self.stage.history.now()
+        ok = False
+        with contextlib.suppress(control.Unavailable, OSError, TimeoutError):
+            told = await control.ask(self.folder / "c.sock", {"op": "reload"}, 10.0)
+            ok = bool(told.get("ok"))
+        # One that is not up takes it with its next start.
+        self.stage.history.add("terms", host=self.name, state=state, ok=True, reloaded=ok, written=written)
+
     async def open_view(self) -> None:
         """Relays to its members, for all other hosts; they tell the sender by its address."""
         loop = asyncio.get_running_loop()
@@ -634,11 +684,26 @@
         self.hosts: dict[str, Host] = {}
         self.lags: list[float] = []
         self.failed: str = ""
+        self.keyring: sites.Keyring | None = None
         self.proposing = 0  # commands that have not come back
         self._phases: dict[str, dict[str, Any]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._holding: dict[int, Planned] = {}
 
+    def same_site(self, one: int, other: int) -> bool:
+        """Whether two hosts are of one site, by their numbers."""
+        hosts, count = self.scenario.storm["hosts"], self.scenario.storm["sites"]
+        return not count or sites.site_of(one, hosts, count) == sites.site_of(other, hosts, count)
+
+    def _site_of_server(self, name: str) -> int:
+        """0: of all. One that a fault adds is the first site's."""
+        storm = self.scenario.storm
+        if not storm["sites"]:
+            return 0
+        if name.startswith("sx"):
+            return 1
+        return sites.site_of(int(name[1:]), storm["servers"], storm["sites"])
+
     def needs_launcher(self, host: str) -> bool:
         seams = ("clock-", "disk-", "power")
         return bool(self.scenario.storm["plant"]) or any(
@@ -688,6 +753,12 @@
             deadline_ms=self.scenario.load["deadline_ms"],
             instances=1 if self.platform else storm["instances"],
             servers=storm["servers"],
+            sites=storm["sites"],
+            site_of_hosts={
+                name: sites.site_of(at, storm["hosts"], storm["sites"]) if storm["sites"] else 0
+                for at, name in enumerate(self.scenario.hosts, 1)
+            },
+            site_of_servers={name: self._site_of_server(name) for name in self.scenario.servers},
             plan=[
                 {
                     "what": item.what,
@@ -712,6 +783,10 @@
             await self._add_server(name, cold=False)
         late = {name for item in self.schedule if item.what == "late" for name in item.hosts}
         self.spawn(self._measure_lag())
+        if storm["sites"]:
+            self.keyring = sites.Keyring(self.folder, storm["sites"])
+            for host in self.hosts.values():
+                host.open_border()
         for host in self.hosts.values():
             if storm["fleet"]:
                 await host.open_view()
@@ -815,8 +890,10 @@
         known["phase"] = phase
         if cold:
             known["up_since_ms"] = int(time.time() * 1000)
+        site = self._site_of_server(name)
         for host in self.hosts.values():
-            host.list.change({**member(name, host._place(name)), **known})
+            if host.site == site:
+                host.list.change({**member(name, host._place(name)), **known})
 
     async def _measure_lag(self) -> None:
         """How late the rig's own loop is: a busy rig would be taken for a slow program."""
@@ -921,8 +998,9 @@
         """The first member that does not see exactly the living ones; empty if all do."""
         if not self.scenario.storm["fleet"]:
             return ""
-        living = sorted(f"{host.name}/i{number}" for host in hosts for number in range(host.wanted))
         for host in hosts:
+            mates = [other for other in hosts if other.site == host.site]
+            living = sorted(f"{other.name}/i{number}" for other in mates for number in range(other.wanted))
             for number in range(host.wanted):
                 name = f"{host.name}/i{number}"
                 if host.views.get(name) != living:
@@ -933,6 +1011,13 @@
         """Why the hosts' instances do not hold the same; empty if they do."""
         if not self.scenario.storm["copies"]:
             return ""
+        for site in sorted({host.site for host in hosts}):
+            why = self._wrong_copies_of([host for host in hosts if host.site == site])
+            if why:
+                return why
+        return ""
+
+    def _wrong_copies_of(self, hosts: list[Host]) -> str:
         held = {
             f"{host.name}/i{at}": host.copies.get(f"i{at}") for host in hosts for at in range(host.wanted)
         }
@@ -1000,6 +1085,8 @@
             case "twin":
                 for host in self._hosts(item):
                     host.start_twin()
+            case "terms":
+                await asyncio.gather(*(host.go_by_terms(int(item.size)) for host in self._hosts(item)))
             case "propose" | "abandon":
                 self.proposing += 1
                 try:
--- a/tests/test_floors.py
+++ b/tests/test_floors.py
@@ -18,6 +18,7 @@
     ["fronts", "upstreams", "sources"],
     ["platform"],
     ["fleet"],
+    ["sites"],
     ["daemon"],
     ["cli", "lab"],
 ]
