--- a/sorrelfront/decisions/sites/routes.py
+++ b/sorrelfront/decisions/sites/routes.py
@@ -48,6 +48,7 @@
 from sorrelfront.decisions.sites.terms import LEFT_MOST_MS, SiteName, Terms
 
 MS = 1_000  # microseconds
+OUTLIVE_EVERY_US = 2_000_000
 STAMP_PART = 4
 # Of the time between two asks, that a lifetime has at least: over five hops an offer then comes in time.
 LIFETIME_LEAST = 8
@@ -163,11 +164,13 @@
 
 
 class Newest(NamedTuple):
-    """The newest state of an offer that is known of. `sum`: of its content; empty if it was withdrawn."""
+    """The newest state of an offer that is known of, and the life that it is of. `sum`: of its content; empty
+    if it was withdrawn."""
 
     epoch: int
     version: int
     sum: bytes
+    birth: int
     forked: bool = False
 
 
@@ -248,8 +251,11 @@
         self.marks: dict[OfferId, Newest] = {}  # heard first hand and not yet taken by the carrier of copies
         self._sign, self._verify = sign, verify
         self._began_us = now
+        self._outlived_us = now - OUTLIVE_EVERY_US
         self._version = 0
         self._own: dict[str, tuple[Lent, Offer]] = {}
+        # Two contents under one state -> until when the last word of each holds.
+        self._forked: dict[OfferId, dict[bytes, int]] = {}
         self._ids: dict[str, int] = {}  # owner -> offers remembered
         self._heard: OrderedDict[tuple[OfferId, int, int, int], int] = OrderedDict()  # a stamp -> since when
         # (owner, gateway, epoch, birth) -> when that life began at the latest, and when that was found
@@ -317,6 +323,7 @@
         """Go on as another life: somebody remembers a later one of this gateway's name."""
         self.now = max(now, self.now)
         self.life = life
+        self._outlived_us = now
         self._own = {name: (item, self._made(item, self._version)) for name, (item, _) in self._own.items()}
         self.told += 1
 
@@ -380,7 +387,7 @@
         way = now - asked
         peer.way_us = way if not peer.way_us else min(way, peer.way_us + way // 8)
         peer.place, peer.gateway, peer.ticket = tell.place, tell.gateway, tell.ticket
-        peer.life = max(peer.life, (tell.epoch, tell.birth))
+        peer.life = max(peer.life, (tell.epoch, tell.birth)) if tell.epoch >= peer.life[0] else peer.life
         peer.agrees = tell.role == self.partners[peer.partner].relation.other_way
         self._on_providers(peer.partner, tell.providers)
         if tell.chains is None:
@@ -401,13 +408,17 @@
         self._takings += 1
         for chain, age_ms, found in zip(tell.chains or (), tell.ages_ms, proven, strict=True):
             why = self._believe(peer, chain, found)
+            if why is None:
+                heard = self._first_heard(chain.offer, asked - age_ms * MS)
+                since = asked if not chain.hops else heard
+                why = self._note(chain.offer, self._until(chain.terms, since) <= self.now)
+            if why is not None and not chain.hops:
+                self._outlive(peer, chain.offer)
             if why is not None:
                 peer.refused[why.name] = peer.refused.get(why.name, 0) + 1
                 self.counts["refused"] += 1
                 continue
             id = chain.offer.id
-            heard = self._first_heard(chain.offer, asked - age_ms * MS)
-            since = asked if not chain.hops else heard
             known = before.get(id)
             peer.held[id] = Held(
                 chain, name, peer.partner, tell.place, self._until(chain.terms, since),
@@ -420,7 +431,7 @@
                 self._flapped(name, id)
                 self.counts["withdrawn"] += 1
         if tell.gateway:
-            self._withdrawn(peer, tell)
+            self._withdrawn(tell)
 
     def _believe(self, peer: Peer, chain: Chain, found: Why | None) -> Why | None:
         """None, and its state is remembered; or why it is not believed."""
@@ -432,15 +443,34 @@
         self.good[digest(chain)] = None
         while len(self.good) > CHECKED_MOST:
             self.good.popitem(last=False)
-        return self._note(chain.offer)
+        return None
+
+    def _outlive(self, peer: Peer, offer: Offer) -> None:
+        """The gateway itself tells what is not believed, for another life of its name is remembered: have it
+        rise above that. Risk: one that lost its disk would stay out for as long as anybody remembers."""
+        known = self.newest.get(offer.id)
+        if known is not None and known.epoch >= offer.epoch and known.birth != offer.birth:
+            peer.life = max(peer.life, (known.epoch, known.birth))
+        elif known is not None and known.forked and known[:2] == offer.age:
+            peer.life = max(peer.life, (known.epoch, offer.birth ^ 1))  # another than it
 
     def _known(self, site: str) -> bool:
         return site in self.partners
 
-    def _note(self, offer: Offer) -> Why | None:
-        """Which state of this offer is the newest."""
-        mark = Newest(offer.epoch, offer.version, content(offer))
-        return self.note(offer.id, mark, first_hand=True)
+    def _note(self, offer: Offer, over: bool) -> Why | None:
+        """Which state of this offer is the newest. `over`: the time of this word is over."""
+        mark = Newest(offer.epoch, offer.version, content(offer), offer.birth)
+        known = self.newest.get(offer.id)
+        if known is not None and known[:2] == mark[:2] and known.sum and known.sum != mark.sum:
+            if over:
+                # Risk: an old life's word, told again for ever, would keep the next life's offer out.
+                return Why.EXPIRED
+            last = self._forked.setdefault(offer.id, {known.sum: self.now})
+            last[mark.sum] = self.now + offer.terms.left_ms * MS
+        elif offer.id in self._forked:
+            self._forked[offer.id][mark.sum] = self.now + offer.terms.left_ms * MS
+        why = self.note(offer.id, mark, first_hand=True)
+        return Why.EXPIRED if why is None and over else why
 
     def on_mark(self, id: OfferId, mark: Newest, now: int) -> None:
         """What another member of this site was told of an offer."""
@@ -471,13 +501,20 @@
             return Why.FORKED
         return Why.WITHDRAWN if not merged.sum and mark.sum else None
 
-    def _withdrawn(self, peer: Peer, tell: Tell) -> None:
-        """What its own gateway does not tell any more is withdrawn, whoever else still tells it."""
+    def take_marks(self) -> dict[OfferId, Newest]:
+        """What was heard first hand since the last time, for the other members of this site."""
+        marks, self.marks = self.marks, {}
+        return marks
+
+    def _withdrawn(self, tell: Tell) -> None:
+        """What its own gateway does not tell any more is withdrawn, whoever else still tells it. Risk: what
+        it tells and is not believed, in an answer that was long on its way, would count as withdrawn."""
+        told = {chain.offer.id for chain in tell.chains or ()}
         for id, known in list(self.newest.items()):
-            if (id.owner, id.gateway) != (tell.site, tell.gateway) or id in peer.held or not known.sum:
+            if (id.owner, id.gateway) != (tell.site, tell.gateway) or id in told or not known.sum:
                 continue
             if known[:2] <= (tell.epoch, tell.version):
-                self.note(id, Newest(tell.epoch, tell.version, b""), first_hand=True)
+                self.note(id, Newest(tell.epoch, tell.version, b"", tell.birth), first_hand=True)
 
     def _first_heard(self, offer: Offer, at: int) -> int:
         """Since when this stamp is known to have been there, at the earliest that anybody has shown. Risk: an
@@ -578,9 +615,23 @@
         for name, (item, offer) in list(self._own.items()):
             if self._stamp_us(offer) <= self.now:
                 self._stamp(name, item, offer)
+        self._join()
         self._forget()
         self._settle()
 
+    def _join(self) -> None:
+        """A fork is over once the time of all words but one content's is: then one life is left of it. Risk:
+        a gateway that lost its disk while all its neighbours started anew would stay out for sites that
+        remember the life before."""
+        for id, until in list(self._forked.items()):
+            live = [sum for sum, at in until.items() if at > self.now]
+            known = self.newest.get(id)
+            if known is None or not known.forked or len(live) > 1:
+                continue
+            if live:
+                self.newest[id] = known._replace(sum=live[0], forked=False)
+            del self._forked[id]
+
     def _forget(self) -> None:
         """States of offers that nobody tells any more and that could not be believed any more."""
         if len(self.newest) <= IDS_MOST // 2:
@@ -702,9 +753,10 @@
 
     def outlived(self, ask: Ask) -> int | None:
         """The epoch that this life has to be above, if the one that asks knows of another life at or above
-        it."""
+        it. Not twice within OUTLIVE_EVERY_US: of two processes by one name each rises above the other."""
         epoch, birth = ask.known
-        return epoch if epoch > self.life[0] or (epoch == self.life[0] and birth != self.life[1]) else None
+        over = epoch > self.life[0] or (epoch == self.life[0] and birth != self.life[1])
+        return epoch if over and self.now >= self._outlived_us + OUTLIVE_EVERY_US else None
 
     def _export(self, partner: str) -> tuple[tuple[Chain, ...], bytes]:
         """What this partner is told, and a digest of it."""
@@ -767,11 +819,12 @@
     a fork and stay one, and a withdrawal under one state outweighs what it withdraws."""
     if one[:2] != other[:2]:
         return max(one, other, key=lambda item: item[:2])
+    birth, forked = min(one.birth, other.birth), one.forked or other.forked
     if one.sum == other.sum:
-        return one._replace(forked=one.forked or other.forked)
+        return Newest(one.epoch, one.version, one.sum, birth, forked)
     if not one.sum or not other.sum:
-        return Newest(one.epoch, one.version, b"", one.forked or other.forked)
-    return Newest(one.epoch, one.version, min(one.sum, other.sum), True)
+        return Newest(one.epoch, one.version, b"", birth, forked)
+    return Newest(one.epoch, one.version, min(one.sum, other.sum), birth, True)
 
 
 def _concerns(terms: Terms, partner: str) -> bool:
--- a/sorrelfront/lab/storm/scenario.py
+++ b/sorrelfront/lab/storm/scenario.py
@@ -113,13 +113,15 @@
     fleet: bool = False  # [fleet]: the instances keep a view of each other
     copies: bool = False  # and copies of what matters; needs `fleet`
     sites: Annotated[int, Meta(ge=0, le=4)] = 0  # partner sites that share hosts and servers out evenly
+    hostile: Annotated[int, Meta(ge=0, le=4)] = 0  # a site that tells its partners what it likes
     probe_ms: Annotated[float, Meta(ge=50, le=10_000)] = 200.0  # of the view
     voters: Annotated[int, Meta(ge=0, le=7)] = 0  # the first instances of so many hosts vote on one policy
     lease_ms: Annotated[float, Meta(ge=500, le=60_000)] = 1_500.0
     hang_ms: Annotated[float, Meta(ge=1_000, le=600_000)] = 3_000.0  # hang_after_ms of each daemon
     isolation: Literal["go-on", "refuse"] = "refuse"  # of all classes, in a storm with voters
     plant: Literal[
-        "", "repeats-unsafe", "forgets-drains", "skips-sync", "ignores-leases", "trusts-old-copies"
+        "", "repeats-unsafe", "forgets-drains", "skips-sync", "ignores-leases", "trusts-old-copies",
+        "believes-widened", "wall-lifetimes",
     ] = ""
 
 
@@ -290,6 +292,8 @@
         checker.fault("storm", "sites", "needs fleet = true")
     if sites and (sites < 2 or made.storm["hosts"] % sites or made.storm["servers"] % sites):
         checker.fault("storm", "sites", "must be two to four, and divide hosts and servers")
+    if made.storm["hostile"] > sites:
+        checker.fault("storm", "hostile", f"there are {sites} sites")
     faults = _faults(made, top.get("faults", []), checker)
     if made.draw is not None:
         _check_draw(made.draw, made, checker)
--- a/sorrelfront/lab/storm/sites.py
+++ b/sorrelfront/lab/storm/sites.py
@@ -188,6 +188,8 @@
         path = [int(name.removeprefix("site")) for name in event["path"].split(",")]
         src, dst = files.hosts[event["src"]], files.hosts[event["dst"]]
         ways[event["call"]].append([*path, dst])
+        if src == head["hostile"]:
+            continue  # what it sends is its own affair; what is served of it is judged below
         what = f"{event['call']} from {event['src']} to {event['dst']} by {event['path']}"
         if path[-1] != src:
             found.append((event["t"], f"{what}: it does not come from there"))
--- a/sorrelfront/lab/storm/stage.py
+++ b/sorrelfront/lab/storm/stage.py
@@ -475,6 +475,8 @@
             words = ["-m", "sorrelfront.lab.storm.launch", *words]
             environ[launch.SEAMS] = str(self.folder)
             environ[launch.PLANT] = self.stage.scenario.storm["plant"]
+            if self.site and self.site == self.stage.scenario.storm["hostile"]:
+                environ[launch.PLANT] = launch.HOSTILE
         read, write = os.pipe()
         try:
             owned = Owned([sys.executable, *words], environ, Path.cwd(), write)
@@ -706,7 +708,8 @@
 
     def needs_launcher(self, host: str) -> bool:
         seams = ("clock-", "disk-", "power")
-        return bool(self.scenario.storm["plant"]) or any(
+        storm = self.scenario.storm
+        return bool(storm["plant"] or storm["hostile"]) or any(
             item.what.startswith(seams) and host in item.hosts for item in self.schedule
         )
 
@@ -754,6 +757,7 @@
             instances=1 if self.platform else storm["instances"],
             servers=storm["servers"],
             sites=storm["sites"],
+            hostile=storm["hostile"],
             site_of_hosts={
                 name: sites.site_of(at, storm["hosts"], storm["sites"]) if storm["sites"] else 0
                 for at, name in enumerate(self.scenario.hosts, 1)
