--- a/sorrelfront/daemon/border.py
+++ b/sorrelfront/daemon/border.py
@@ -8,7 +8,7 @@
 import os
 import time
 from pathlib import Path
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 import msgspec
 
@@ -16,9 +16,9 @@
 from sorrelfront.daemon import records
 from sorrelfront.daemon.configuration import MEMBERS
 from sorrelfront.daemon.gate import GatedAgent
-from sorrelfront.decisions.sites.offers import Relation
+from sorrelfront.decisions.sites.offers import OfferId, Relation
 from sorrelfront.decisions.sites.passage import Passage
-from sorrelfront.decisions.sites.routes import Border, Lent, Partner, Settings
+from sorrelfront.decisions.sites.routes import IDS_MOST, Border, Lent, Newest, Partner, Settings
 from sorrelfront.decisions.sites.terms import terms
 from sorrelfront.fronts.http1 import Listener
 from sorrelfront.lists import parse_address
@@ -30,9 +30,17 @@
 from sorrelfront.terms import Config
 from sorrelfront.upstreams.http1 import Upstream
 
+if TYPE_CHECKING:
+    from sorrelfront.fleet.copier import Copier
+
 log = logging.getLogger("sorrelfront.sites")
 
+_newest = msgspec.msgpack.Decoder(Newest)
+_encode = msgspec.msgpack.Encoder().encode
+
 
+OFFER, SEPARATOR = "offer/", "\x1f"  # of keys by which offers' newest states are copied
+SHARE_EVERY_S = 0.2
 LISTEN_AGAIN_S = 0.25  # while another process has the address
 
 
@@ -86,6 +94,8 @@
         self._agent: BorderAgent | None = None
         self._listener: Listener | None = None
         self._starting: asyncio.Task[None] | None = None
+        self._copier: Copier | None = None
+        self._sharing: asyncio.TimerHandle | None = None
         self._untils: dict[tuple[str, float], int] = {}  # when offers end, as it was first worked out
 
     def agent(self, config: Config, upstream: Upstream, source: Any, governed: bool) -> BorderAgent:
@@ -179,6 +189,47 @@
             self._kept = self.border.life[0]
             if self._path is not None:
                 keep(self._path, self._kept)
+        self._share()
+
+    def share(self, copier: Copier) -> None:
+        """Have what this member hears of offers' newest states copied to the others, and go by what they
+        heard: an old word that is told again finds no member that does not know better."""
+        self._copier = copier
+        copier.watch(OFFER, self._copied)
+        self._changed()
+
+    def _copied(self, key: str) -> None:
+        id = _offer_id(key)
+        assert self._copier is not None
+        for book, value in self._copier.copies.values(key) if id is not None else ():
+            if book.owner == self._copier.copies.me and id in self.border.newest:
+                continue
+            try:
+                mark = _newest.decode(value)
+            except msgspec.DecodeError as fault:
+                log.warning("a copy of an offer's state is not used: %s", fault)
+                continue
+            assert id is not None
+            self.border.on_mark(id, mark, now_us())
+
+    def _share(self) -> None:
+        """Risk: a partner that changes its offers ten times a second would have this site's members write and
+        say as much to each other; so of each offer the newest state goes, now and then."""
+        if self._sharing is None and self.border.marks:
+            self._sharing = asyncio.get_running_loop().call_later(SHARE_EVERY_S, self._share_now)
+
+    def _share_now(self) -> None:
+        self._sharing = None
+        marks = self.border.take_marks()
+        if self._copier is None:
+            return
+        for id, mark in marks.items():
+            self._copier.put(OFFER + SEPARATOR.join(id), _encode(mark))
+        mine = self._copier.copies.mine
+        if mine is not None and len(mine.entries) > 2 * IDS_MOST:
+            for key in [key for key in mine.entries if key.startswith(OFFER)]:
+                if _offer_id(key) not in self.border.newest:
+                    self._copier.put(key, None)
 
     def figures(self) -> dict[str, Any]:
         told = self._carrier.figures()
@@ -197,9 +248,16 @@
     async def end(self) -> None:
         if self._starting is not None:
             self._starting.cancel()
+        if self._sharing is not None:
+            self._sharing.cancel()
         await self._carrier.close()
 
 
+def _offer_id(key: str) -> OfferId | None:
+    parts = key.removeprefix(OFFER).split(SEPARATOR)
+    return OfferId(*parts) if len(parts) == 3 else None
+
+
 def _ended(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         log.error("opening the border failed", exc_info=task.exception())
--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -293,6 +293,8 @@
                 self._govern(table)
         if self._frontier is not None:
             self._frontier.open(config, self._bodies)
+            if self._fellow is not None and self._fellow.copier is not None:
+                self._frontier.share(self._fellow.copier)
         if config.known.backends:
             learnt, self._learnt = self._learnt, None
             self._take_up(learnt)
--- a/sorrelfront/fleet/copier.py
+++ b/sorrelfront/fleet/copier.py
@@ -110,6 +110,7 @@
         self._unlisted: dict[str, int] = {}  # servers with an entry on a drain, and since when not listed
         self._forgotten: dict[str, int] = {}  # owners whom the view does not know -> since when
         self._stale = False  # copies have changed since the agent was told
+        self._watches: dict[str, Callable[[str], None]] = {}  # beginnings of keys -> told of each change
         self.counts = dict.fromkeys(("heard", "unreadable", "written", "unwritten", "held_back"), 0)
         self.fault = ""
 
@@ -126,6 +127,28 @@
         for task in self._tasks:
             task.cancel()
 
+    # What other parts have copied
+
+    def watch(self, beginning: str, changed: Callable[[str], None]) -> None:
+        """Have this called with each key of this beginning that may read otherwise, and with all that are
+        there now."""
+        self._watches[beginning] = changed
+        keys = {key for book in self.copies.books.values() for key in book.entries}
+        for key in sorted(keys):
+            if key.startswith(beginning):
+                changed(key)
+
+    def put(self, key: str, value: bytes | None) -> None:
+        """Have this in this member's own book; None: no such entry. What has no room is told in the log."""
+        try:
+            if value is None:
+                self.copies.delete(key, now_us())
+            else:
+                self.copies.put(key, value, now_us())
+        except ValueError as fault:
+            log.warning("not copied: %s", fault)
+        self._do(self.copies._take())
+
     # Words and time
 
     def hear(self, sender: str, data: bytes) -> None:
@@ -163,6 +186,7 @@
                 case Changed(owner, keys):
                     if owner == self.copies.list_owner or any(key.startswith(DRAIN) for key in keys):
                         self._stale = True
+                    self._tell_watches(keys)
                 case Forked(owner, epoch, seq):
                     log.error("two contents under one state: %s, epoch %d, sequence %d", owner, epoch, seq)
                 case Levelled():
@@ -175,6 +199,12 @@
             self._apply()
         self._schedule()
 
+    def _tell_watches(self, keys: Iterable[str]) -> None:
+        for beginning, changed in self._watches.items():
+            for key in keys:
+                if key.startswith(beginning):
+                    changed(key)
+
     # Disk
 
     def _put(self, write: Write) -> None:
--- a/sorrelfront/sites/carrier.py
+++ b/sorrelfront/sites/carrier.py
@@ -152,7 +152,7 @@
             self._timer.cancel()
         self._timer = loop.call_later(max(0.001, (border.next_us() - now_us()) / 1e6), self._on_time)
         state = (border.changed, border.told)
-        if state == self._seen:
+        if state == self._seen and not border.marks:
             return
         self._seen = state
         for asker in self._askers:
