Routes: what a gateway itself does not tell is not believed of others; two lives under one epoch

Found by trying every order of events of three sites (lab/sites/explorer.py): an offer that was never heard of before came by way of another after its own gateway had not told it; a gateway that began anew without its disk left the offers of the life before standing.

--- a/sorrelfront/decisions/sites/routes.py
+++ b/sorrelfront/decisions/sites/routes.py
@@ -254,6 +254,8 @@
         self._outlived_us = now - OUTLIVE_EVERY_US
         self._version = 0
         self._own: dict[str, tuple[Lent, Offer]] = {}
+        # (owner, gateway) -> the state that it told itself last, and the offers that it told then.
+        self._floors: OrderedDict[tuple[str, str], tuple[tuple[int, int], frozenset[str]]] = OrderedDict()
         # Two contents under one state -> until when the last word of each holds.
         self._forked: dict[OfferId, dict[bytes, int]] = {}
         self._ids: dict[str, int] = {}  # owner -> offers remembered
@@ -431,7 +433,7 @@
                 self._flapped(name, id)
                 self.counts["withdrawn"] += 1
         if tell.gateway:
-            self._withdrawn(tell)
+            self._withdrawn(peer, tell)
 
     def _believe(self, peer: Peer, chain: Chain, found: Why | None) -> Why | None:
         """None, and its state is remembered; or why it is not believed."""
@@ -446,13 +448,16 @@
         return None
 
     def _outlive(self, peer: Peer, offer: Offer) -> None:
-        """The gateway itself tells what is not believed, for another life of its name is remembered: have it
-        rise above that. Risk: one that lost its disk would stay out for as long as anybody remembers."""
+        """The gateway itself tells what is not believed, since another life of its name is remembered, or a
+        state under which it can be told no more: have it rise above that. Risk: one that lost its disk would
+        stay out for as long as anybody remembers."""
         known = self.newest.get(offer.id)
-        if known is not None and known.epoch >= offer.epoch and known.birth != offer.birth:
-            peer.life = max(peer.life, (known.epoch, known.birth))
-        elif known is not None and known.forked and known[:2] == offer.age:
-            peer.life = max(peer.life, (known.epoch, offer.birth ^ 1))  # another than it
+        if known is None or known.epoch < max(offer.epoch, peer.life[0]):
+            return
+        if known.birth != offer.birth:
+            peer.life = (known.epoch, known.birth)
+        elif known[:2] == offer.age:
+            peer.life = (known.epoch, offer.birth ^ 1)  # another than it
 
     def _known(self, site: str) -> bool:
         return site in self.partners
@@ -460,6 +465,10 @@
     def _note(self, offer: Offer, over: bool) -> Why | None:
         """Which state of this offer is the newest. `over`: the time of this word is over."""
         mark = Newest(offer.epoch, offer.version, content(offer), offer.birth)
+        floor = self._floors.get((offer.owner, offer.gateway))
+        if floor is not None and offer.age <= floor[0] and offer.name not in floor[1]:
+            # Risk: what was never heard of before would be new, though its gateway has just not told it.
+            return Why.WITHDRAWN
         known = self.newest.get(offer.id)
         if known is not None and known[:2] == mark[:2] and known.sum and known.sum != mark.sum:
             if over:
@@ -506,14 +515,25 @@
         marks, self.marks = self.marks, {}
         return marks
 
-    def _withdrawn(self, tell: Tell) -> None:
+    def _withdrawn(self, peer: Peer, tell: Tell) -> None:
         """What its own gateway does not tell any more is withdrawn, whoever else still tells it. Risk: what
         it tells and is not believed, in an answer that was long on its way, would count as withdrawn."""
         told = {chain.offer.id for chain in tell.chains or ()}
+        names = frozenset(id.name for id in told if (id.owner, id.gateway) == (tell.site, tell.gateway))
+        self._floors[tell.site, tell.gateway] = ((tell.epoch, tell.version), names)
+        self._floors.move_to_end((tell.site, tell.gateway))
+        while len(self._floors) > IDS_MOST:
+            self._floors.popitem(last=False)
         for id, known in list(self.newest.items()):
             if (id.owner, id.gateway) != (tell.site, tell.gateway) or id in told or not known.sum:
                 continue
-            if known[:2] <= (tell.epoch, tell.version):
+            if known.epoch >= tell.epoch and known.birth != tell.birth:
+                # Another life than the one that answers now. Which of two under one epoch is the later one
+                # nobody can say: it is to rise above both, and neither's offer holds until then.
+                peer.life = max(peer.life, (known.epoch, known.birth))
+                if known.epoch == tell.epoch:
+                    self.note(id, known._replace(sum=b""), first_hand=True)
+            elif known[:2] <= (tell.epoch, tell.version):
                 self.note(id, Newest(tell.epoch, tell.version, b"", tell.birth), first_hand=True)
 
     def _first_heard(self, offer: Offer, at: int) -> int:
--- a/sorrelfront/lab/sites/routes.py
+++ b/sorrelfront/lab/sites/routes.py
@@ -89,7 +89,7 @@
     epoch: int
     up: bool = True
     frozen: bool = False
-    blank: bool = False  # it began with neither its disk nor anybody to ask
+    began: int = 0
     waits: dict[str, tuple[int, int]] = field(default_factory=dict)  # peer -> number awaited, since when
     pending: set[str] = field(default_factory=set)  # peers that are to be asked again once they answer
     askers: dict[str, int] = field(default_factory=dict)  # nodes that asked -> when they had news last
@@ -107,6 +107,7 @@
     cls: str
     id: OfferId
     to: str
+    began: int  # when the process that sent it did
 
 
 class Served(NamedTuple):
@@ -142,7 +143,7 @@
         self.sent: list[Sent] = []
         self.served: list[Served] = []
         self.turned = 0
-        self.withheld = 0  # requests of which the sender hears through a hostile site alone
+        self.withheld = 0  # requests by what the sender heard from a hostile site alone
         self.settled_us = 0  # how long after the last fault all had their routes, in whole seconds
         self.breaches: list[str] = []
         # What the members of a site know of offers' newest states: copies, which outlive each of them.
@@ -198,8 +199,8 @@
         border.configure(site.partners.values(), site.lent.values(), now)
         node = self.nodes[name] = Node(site.name, name, border, Passage(site.name), rate, epoch)
         mates = any(self.nodes[mate].up for mate in site.gateways if mate != name and mate in self.nodes)
-        node.blank = self.now > 0 and epoch == 1 and not mates
-        if not node.blank:
+        node.began = self.now
+        if epoch > 1 or mates:  # else it has neither its disk nor anybody to ask
             for id, mark in self.marks[site.name].items():
                 border.on_mark(id, mark, now)
         for partner in site.partners.values():
@@ -351,7 +352,7 @@
             return
         route = self.random.choice(ways)
         way = (*path, node.site)
-        self.sent.append(Sent(self.now, number, way, cls, route.id, route.sites[0]))
+        self.sent.append(Sent(self.now, number, way, cls, route.id, route.sites[0], node.began))
         to = route.peer
         pair = frozenset((node.site, route.sites[0]))
         if pair in self.cut:
@@ -516,10 +517,11 @@
             if self._can_hear(item):
                 since = max(since, item.t - TOLD_US)
             neighbours = self.sites[item.path[-1]].partners
-            blank = any(self.nodes[name].blank for name in self.sites[item.path[-1]].gateways)
-            if item.to == HOSTILE != id.owner and (blank or not neighbours[id.owner].neighbour):
-                # Who hears of an offer through a hostile site alone can be told of it late, from the first
-                # word on: no clock is common to them. The owner's gateway turns its requests away.
+            changed = max((began for began, _ in self.truth[id] if began <= item.t), default=0)
+            fresh = item.began > changed
+            if item.to == HOSTILE != id.owner and (fresh or not neighbours[id.owner].neighbour):
+                # Who hears of an offer through a hostile site alone, from its own start on, can be told of it
+                # late: no clock is common to them. The owner's gateway turns its requests away.
                 self.withheld += 1
                 continue
             # On the way further sites carry it, which the next ones check; here only those so far.
