--- a/sorrelfront/decisions/sites/routes.py
+++ b/sorrelfront/decisions/sites/routes.py
@@ -582,6 +582,9 @@
         """Sites that provide for each other in a circle, by this site's own file and what partners tell."""
         known = {name: item.providers | self._provided.get(name, frozenset())
                  for name, item in self.partners.items()}  # fmt: skip
+        for name, item in self.partners.items():
+            if item.relation is Relation.CUSTOMER:
+                known[name] |= {self.site}
         known[self.site] = frozenset(self.providers)
         return circle(known)
 
@@ -839,11 +842,11 @@
     a fork and stay one, and a withdrawal under one state outweighs what it withdraws."""
     if one[:2] != other[:2]:
         return max(one, other, key=lambda item: item[:2])
-    birth, forked = min(one.birth, other.birth), one.forked or other.forked
-    if one.sum == other.sum:
-        return Newest(one.epoch, one.version, one.sum, birth, forked)
+    birth = min(one.birth, other.birth)
     if not one.sum or not other.sum:
-        return Newest(one.epoch, one.version, b"", birth, forked)
+        return Newest(one.epoch, one.version, b"", birth)
+    if one.sum == other.sum:
+        return Newest(one.epoch, one.version, one.sum, birth, one.forked or other.forked)
     return Newest(one.epoch, one.version, min(one.sum, other.sum), birth, True)
 
 
--- /dev/null
+++ b/tests/sites/test_passage.py
@@ -0,0 +1,90 @@
+"""Who is let in at a gateway."""
+
+from __future__ import annotations
+
+import pytest
+
+from sorrelfront.decisions.sites.offers import Relation
+from sorrelfront.decisions.sites.passage import Away, In, Passage, Turned, parse_path
+from sorrelfront.decisions.sites.routes import Lent, Partner
+from sorrelfront.decisions.sites.terms import RATE_MOST, terms
+
+SECOND = 1_000_000
+PARTNERS = {name: Partner(name, Relation.PEER) for name in ("a", "b")}
+
+
+def lent(rate: int = RATE_MOST, capacity: int = 100) -> dict[str, Lent]:
+    return {"x": Lent("x", terms(["a"], ["b"], ["look"], rate), 1, capacity)}
+
+
+def judge(
+    passage: Passage, partner: str | None, path: str, cls: str = "look", through: bool = False,
+    offers: dict[str, Lent] | None = None, now: int = 0,
+) -> In | Away:  # fmt: skip
+    told = lent() if offers is None else offers
+    return passage.judge(partner, parse_path(path), cls, PARTNERS, told, through, now)
+
+
+@pytest.mark.parametrize(
+    ("partner", "path", "cls", "why"),
+    [
+        ("a", "A", "look", Turned.PATH),
+        ("a", "a,a", "look", Turned.PATH),
+        ("a", "a" * 80, "look", Turned.PATH),
+        ("a", ",".join("abcdefghi"), "look", Turned.PATH),
+        (None, "a", "look", Turned.STRANGER),
+        ("b", "a", "look", Turned.STRANGER),  # another's ticket
+        ("z", "z", "look", Turned.STRANGER),
+        ("b", "c,b", "look", Turned.LOOP),
+        ("a", "a", "pay", Turned.FORBIDDEN),
+        ("b", "b", "look", Turned.FORBIDDEN),  # it may carry a's, and has none of its own
+        ("a", "b,a", "look", Turned.FORBIDDEN),
+    ],
+)
+def test_turned_away(partner: str | None, path: str, cls: str, why: Turned) -> None:
+    passage = Passage("c")
+    found = judge(passage, partner, path, cls)
+    assert isinstance(found, Away) and found.why is why and found.retry_after_us > 0
+    assert passage.counts[why.name.lower()] == 1 and not passage.inside
+
+
+def test_let_in_itself_and_carried() -> None:
+    passage = Passage("c")
+    assert judge(passage, "a", "a") == In("x") and judge(passage, "b", "a,b") == In("x")
+    assert passage.inside == {"x": 2}
+    passage.left("x")
+    passage.left("x")
+    passage.left("x")
+    assert passage.inside == {}
+
+
+def test_what_is_not_lent_here_goes_on_if_it_may() -> None:
+    assert judge(Passage("c"), "b", "b", through=True) == In(None)
+
+
+def test_a_full_gateway_says_so_and_goes_on_elsewhere_if_it_can() -> None:
+    passage, offers = Passage("c"), lent(capacity=1)
+    assert judge(passage, "a", "a", offers=offers) == In("x")
+    found = judge(passage, "a", "a", offers=offers)
+    assert isinstance(found, Away) and found.why is Turned.FULL
+    assert judge(passage, "a", "a", offers=offers, through=True) == In(None)
+    passage.left("x")
+    assert judge(passage, "a", "a", offers=offers) == In("x")
+
+
+@pytest.mark.parametrize("rate", [1, 2, 3, 10, 47, 200])
+def test_no_second_has_more_than_the_rate(rate: int) -> None:
+    passage, offers = Passage("c"), lent(rate, 1_000_000)
+    taken = [
+        now
+        for now in range(0, 5 * SECOND, 2_500)
+        if judge(passage, "a", "a", offers=offers, now=now) == In("x")
+    ]
+    for at, began in enumerate(taken):
+        assert sum(began <= other < began + SECOND for other in taken[at:]) <= rate
+    assert len(taken) >= 0.45 * rate * 5
+    now = 5 * SECOND
+    while isinstance(away := judge(passage, "a", "a", offers=offers, now=now), In):
+        pass
+    assert away.why is Turned.RATE
+    assert judge(passage, "a", "a", offers=offers, now=now + away.retry_after_us + 1) == In("x")
--- /dev/null
+++ b/tests/sites/test_terms.py
@@ -0,0 +1,37 @@
+"""The lattice of terms, by its laws."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sorrelfront.decisions.sites.terms import ANYTHING, NOTHING, Terms, canonical, meet, terms, within
+
+NAMES = st.none() | st.sets(st.sampled_from(["a", "b", "c"]))
+TERMS = st.builds(terms, NAMES, NAMES, NAMES, st.integers(0, 5), st.integers(0, 5))
+
+
+@settings(derandomize=True, max_examples=300)
+@given(TERMS, TERMS, TERMS)
+def test_a_meet_is_the_most_that_both_allow(one: Terms, other: Terms, third: Terms) -> None:
+    both = meet(one, other)
+    assert both == meet(other, one) and meet(one, one) == one
+    assert meet(meet(one, other), third) == meet(one, meet(other, third))
+    assert meet(one, ANYTHING) == one and meet(one, NOTHING) == NOTHING
+    assert within(both, one) and within(both, other) and canonical(both)
+    if within(third, one) and within(third, other):
+        assert within(third, both)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(TERMS, TERMS, st.sampled_from("abc"), st.sampled_from("abc"))
+def test_what_both_allow_is_allowed_by_each(one: Terms, other: Terms, site: str, cls: str) -> None:
+    both = meet(one, other)
+    assert both.lends(site, cls) == (one.lends(site, cls) and other.lends(site, cls))
+    assert both.carries(site) == (one.carries(site) and other.carries(site))
+    if both.empty:
+        assert not both.lends(site, cls)
+
+
+def test_nobody_passes_on_what_says_nothing_of_it() -> None:
+    assert not terms().carries("a") and terms(onward=None).carries("a")
