Partner sites: a key's repeats stay in one group, over the border too; storms of the hard cases

Found by tests of whole programs: a keyed request whose attempts had all been refused unconnected was not sent on; after one that may have run here a refusal would have promised too much. Found by storms: a broken connection's end was told as an error nobody saw; all keyed requests went to one gateway. The planted lifetimes by the time of day are found once requests and words can be cut apart (fault 'deaf').

--- a/sorrelfront/daemon/configuration.py
+++ b/sorrelfront/daemon/configuration.py
@@ -577,10 +577,10 @@
                 checker.fault(where, "keys", f"has one of partners.{other}: they could speak as each other")
     providers = {name: frozenset(table["providers"] or ()) for name, table in partners.items()}
     for name, table in partners.items():
-        if table["relation"] == "customer":
+        if table["relation"] == "customer" and site["name"]:
             providers[name] |= {site["name"]}
     own = frozenset(name for name, table in partners.items() if table["relation"] == "provider")
-    found = circle({**providers, site["name"]: own})
+    found = circle({**providers, site["name"]: own}) if site["name"] else []
     if found:
         way = " -> ".join((*found, found[0]))
         checker.fault("partners", "relation", f"makes a circle in which each lends to the next: {way}")
--- a/sorrelfront/lab/storm/scenario.py
+++ b/sorrelfront/lab/storm/scenario.py
@@ -50,7 +50,19 @@
         "disk-back",
         "disk-gone",
     ),
-    "link": ("cut", "island", "one-way", "ring", "refuse", "reset", "forget", "delay", "narrow", "datagrams"),
+    "link": (
+        "cut",
+        "island",
+        "one-way",
+        "ring",
+        "refuse",
+        "reset",
+        "forget",
+        "delay",
+        "narrow",
+        "datagrams",
+        "deaf",
+    ),
     "server": ("server-kill", "server-slow", "server-hang", "server-fail", "server-drain", "server-new"),
     "list": ("list-down",),
 }
@@ -357,8 +369,8 @@
         checker.fault(name, "part", f"there are {made.storm['instances']} instances")
     if kind.size is not None and not values["size"] and what != "terms":
         checker.fault(name, "size", f"is missing: {what!r} has one, such as {kind.size[1]:g}")
-    if what == "terms" and not made.storm["sites"]:
-        checker.fault(name, "what", "'terms' needs [storm] sites")
+    if what in ("terms", "deaf") and not made.storm["sites"]:
+        checker.fault(name, "what", f"{what!r} needs [storm] sites")
     if what in ("propose", "abandon") and not made.storm["voters"]:
         checker.fault(name, "what", f"{what!r} needs [storm] voters")
     if made.storm["platform"] and what in DAEMONS_ONLY:
--- a/sorrelfront/lab/storm/sites.py
+++ b/sorrelfront/lab/storm/sites.py
@@ -19,7 +19,9 @@
 from sorrelfront.sites.keys import make
 
 WORDS_PORT, REQUESTS_PORT = 16_000, 16_100  # of a host's first instance
-RENEW_MS, STALE_MS, LIFETIME_MS = 250, 1_500, 3_000
+WORDS = "/words"  # behind a host's name: the links of what is said to its gateway
+# A silent gateway's offers are believed until their lifetimes end, which is what storms are to test.
+RENEW_MS, STALE_MS, LIFETIME_MS = 250, 60_000, 3_000
 # One site -> another, and what the second is to the first. Providers stand ahead of their customers.
 RELATIONS = {(1, 2): "customer", (1, 3): "customer", (2, 3): "peer", (2, 4): "customer"}
 OTHER_WAY = {"customer": "provider", "provider": "customer", "peer": "peer"}
@@ -198,7 +200,7 @@
         since = event["t"] - (LIFETIME_MS / 1e3 + 1.0)
         if quiet.since(event["t"]) < event["t"] - TOLD_S - LIFETIME_MS / 1e3:
             since = event["t"] - TOLD_S
-        owners = [site for site in range(1, files.sites + 1) if site not in path]
+        owners = _beyond(dst, path, files.sites)
         if not any(
             files.allowed(owner, event["class"], path + ([dst] if owner != dst else []), since, event["t"])
             for owner in owners
@@ -208,6 +210,19 @@
     return found
 
 
+def _beyond(site: int, path: list[int], sites: int) -> set[int]:
+    """Sites that a request may come to by way of this one, without coming through any of its path again."""
+    near = neighbours(sites)
+    found, waiting = {site}, [site]
+    while waiting:
+        at = waiting.pop()
+        for one, other in near:
+            if one == at and other not in found and other not in path:
+                found.add(other)
+                waiting.append(other)
+    return found
+
+
 def _served(
     events: list[Event], files: _Files, servers: dict[str, int], ways: dict[str, list[list[int]]]
 ) -> list[tuple[float, str]]:
--- a/sorrelfront/lab/storm/stage.py
+++ b/sorrelfront/lab/storm/stage.py
@@ -404,7 +404,8 @@
                 continue
             for at in range(self.stage.scenario.storm["instances"]):
                 target = (other.ip, sites.WORDS_PORT + at)
-                self.relays[f"words {other.name} {at}"] = TcpRelay(network, self.name, other.name, target)
+                words = TcpRelay(network, self.name, other.name + sites.WORDS, target)
+                self.relays[f"words {other.name} {at}"] = words
                 target = (other.ip, sites.REQUESTS_PORT + at)
                 relay = TcpRelay(network, self.name, other.name, target)
                 relay.sent = sites.Crossing(self.name, other.name, add)
@@ -1127,20 +1128,20 @@
             case "disk-torn" | "disk-back" | "disk-gone":
                 for host in self._hosts(item):
                     self._hurt_disk(host, item.what)
-            case "cut" | "island" | "one-way" | "ring":
-                self.network.change(item.pairs, cut=True)
+            case "cut" | "island" | "one-way" | "ring" | "deaf":
+                self.network.change(_links(item), cut=True)
             case "refuse":
-                self.network.change(item.pairs, refuse=True)
+                self.network.change(_links(item), refuse=True)
             case "reset":
-                self.network.reset(item.pairs)
+                self.network.reset(_links(item))
             case "forget":
-                self.network.forget(item.pairs)
+                self.network.forget(_links(item))
             case "delay":
-                self.network.change(item.pairs, delay=item.size / 1e3, spread=item.size / 1e3)
+                self.network.change(_links(item), delay=item.size / 1e3, spread=item.size / 1e3)
             case "narrow":
-                self.network.change(item.pairs, rate=item.size)
+                self.network.change(_links(item), rate=item.size)
             case "datagrams":
-                self.network.change(item.pairs, loss=item.size, double=item.size / 3, reorder=item.size / 3)
+                self.network.change(_links(item), loss=item.size, double=item.size / 3, reorder=item.size / 3)
             case "server-kill":
                 for name in item.to:
                     self._kill_server(name)
@@ -1184,16 +1185,16 @@
             case "disk-full" | "disk-readonly" | "disk-slow":
                 for host in self._hosts(item):
                     disk.tell_trouble(host.folder, disk.Trouble())
-            case "cut" | "island" | "one-way" | "ring":
-                self.network.change(item.pairs, cut=False)
+            case "cut" | "island" | "one-way" | "ring" | "deaf":
+                self.network.change(_links(item), cut=False)
             case "refuse":
-                self.network.change(item.pairs, refuse=False)
+                self.network.change(_links(item), refuse=False)
             case "delay":
-                self.network.change(item.pairs, delay=0.0, spread=0.0)
+                self.network.change(_links(item), delay=0.0, spread=0.0)
             case "narrow":
-                self.network.change(item.pairs, rate=0.0)
+                self.network.change(_links(item), rate=0.0)
             case "datagrams":
-                self.network.change(item.pairs, loss=0.0, double=0.0, reorder=0.0)
+                self.network.change(_links(item), loss=0.0, double=0.0, reorder=0.0)
             case "server-kill":
                 for name in item.to:
                     await self._start_server(name)
@@ -1318,6 +1319,15 @@
         self.history.flush()
 
 
+def _links(item: Planned) -> set[tuple[str, str]]:
+    """The directed links that a fault is on. What sites say to each other has links of its own beside those
+    of their requests: `deaf` is on these alone, all others on both."""
+    words = {(src, dst + sites.WORDS) for src, dst in item.pairs} | {
+        (src + sites.WORDS, dst) for src, dst in item.pairs
+    }
+    return words if item.what == "deaf" else item.pairs | words
+
+
 def _quick() -> str | None:
     """In memory, unless somebody names another place: what a power cut leaves is the rig's to say, and a disk
     that all storms of a machine share makes each of them wait for the others' fsyncs."""
--- a/sorrelfront/sites/carrier.py
+++ b/sorrelfront/sites/carrier.py
@@ -36,6 +36,11 @@
 # much and each time something else would have all of this process's time.
 REST = 10
 BUFFER_MOST = 256 * 1024  # bytes that wait to be read by one that asks; then it has no news
+# What is told in the log; the rest comes and goes with links, files and processes.
+WRONG = frozenset(
+    {Why.UNKNOWN_SITE, Why.SIGNATURE, Why.WIDENED, Why.NOT_PASSED_ON, Why.ADDRESSEE, Why.VALLEY, Why.ROLE,
+     Why.SPELLING, Why.FORKED, Why.TOO_MANY}
+)  # fmt: skip
 IDLE_S = 60.0  # a connection that asks nothing for so long is closed
 CLOSE_WITHIN_S = 0.2
 WORDS_MOST = 8  # that wait to be taken up; then the partner's are left in the kernel
@@ -173,6 +178,14 @@
         self.counts["sent"] += len(frame)
         self.by_partner[partner] += len(frame)
 
+    def _let_go(self, writer: asyncio.StreamWriter) -> None:
+        """Close it at once, and hear out what its end was: nobody else asks, and it would be told as an error
+        that nobody saw."""
+        writer.transport.abort()
+        task = asyncio.get_running_loop().create_task(_closed(writer))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
     def _received(self, count: int) -> None:
         self.counts["received"] += count
 
@@ -217,7 +230,7 @@
                 self._askers.discard(asker)
                 if asker.timer is not None:
                     asker.timer.cancel()
-            writer.transport.abort()
+            self._let_go(writer)
 
     def _may_ask(self, asker: _Asker) -> bool:
         now = time.monotonic()
@@ -285,7 +298,7 @@
         finally:
             if pump is not None:
                 pump.cancel()
-            writer.transport.abort()
+            self._let_go(writer)
 
     async def _pump(
         self,
@@ -355,11 +368,12 @@
 
     def _tell_refused(self, name: str) -> None:
         peer = self.border.peers[name]
-        why = ", ".join(sorted(peer.refused))
+        wrong = sorted(item for item in peer.refused if Why[item] in WRONG)
+        why = ", ".join(wrong)
         if self._refused.get(name, "") != why:
             self._refused[name] = why
             if why:
-                first = Why[sorted(peer.refused)[0]]
+                first = Why[wrong[0]]
                 log.warning(
                     "routes of %s at %s are not used: %s; %s", peer.partner, name, first.value, REMEDY[first]
                 )
@@ -399,6 +413,11 @@
         return 0 if held is None else max(0, held.expires_us - now) // 1_000
 
 
+async def _closed(writer: asyncio.StreamWriter) -> None:
+    with contextlib.suppress(OSError):
+        await writer.wait_closed()
+
+
 async def _next(words: asyncio.Queue[Word | Exception]) -> Word:
     word = await words.get()
     if isinstance(word, Exception):
--- a/sorrelfront/sites/requests.py
+++ b/sorrelfront/sites/requests.py
@@ -9,11 +9,13 @@
 import asyncio
 import base64
 import binascii
+import zlib
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Any
 
-from sorrelfront.agent import OVERDUE_US, Agent, Held
+from sorrelfront.agent import DEADLINE_MARGIN_US, OVERDUE_US, Agent, Held
 from sorrelfront.agent import Upstream as AnyUpstream
 from sorrelfront.decisions import interface as api
 from sorrelfront.decisions.sites.passage import FULL_US, Away, In, Passage, parse_path
@@ -28,6 +30,7 @@
 PATH = b"X-Sorrelfront-Path"
 PASS = b"X-Sorrelfront-Pass"
 OURS = (PATH.lower(), PASS.lower())
+KEYS_MOST = 65_536  # that are remembered for their window; the oldest goes
 LANES_MOST = 32  # balancers over gateways, one for each set of them that is in use
 # A way that is shorter than this is not worth a request: it would come too late to be served.
 LEFT_LEAST_US = 10_000
@@ -90,6 +93,11 @@
         pass
 
 
+def group_of(route: Route) -> str:
+    """Who drops repeats of a key there: those that the owner names, or the gateway's own servers."""
+    return route.group or f"{route.id.owner}/{route.id.gateway}"
+
+
 class _Lane:
     """One balancer over some gateways."""
 
@@ -109,9 +117,10 @@
         for route in routes:
             name = f"{route.partner}@{route.peer}"
             if name not in addresses:
-                # Whoever drops repeats of a key is a group; attempts that may have run stay in it.
-                group = route.group or f"{route.id.owner}/{route.id.gateway}"
-                backends.append(api.Backend(name, group, "gateway", 0, weight=float(route.capacity)))
+                # Attempts of a keyed request that may have run stay in one group, which is a zone here.
+                backends.append(
+                    api.Backend(name, group_of(route), "gateway", 0, weight=float(route.capacity))
+                )
                 addresses[name] = parse_address(route.place)
         assert self.source is not None
         self.source.tell(tuple(backends), addresses)
@@ -158,13 +167,24 @@
                 if live != lane.routes:
                     lane.go_by(live)
 
+    def groups(self, cls: str, path: tuple[str, ...]) -> set[str]:
+        """Who drops repeats of a key beyond the border, by the routes that are in use."""
+        return {group_of(route) for route in self.border.ways(cls, now_us(), path)}
+
     def send(
-        self, call: Call, path: tuple[str, ...], left_us: int, done: Callable[[Final], None]
+        self,
+        call: Call,
+        path: tuple[str, ...],
+        left_us: int,
+        done: Callable[[Final], None],
+        group: str | None = None,
     ) -> Callable[[], None] | None:
-        """Send it on, if a route permits it and there is time. `path`: sites that it came through. `done` is
-        called once with the final answer, also if it is called off by what is returned. None: nothing was
-        sent."""
+        """Send it on, if a route permits it and there is time. `path`: sites that it came through. `group`:
+        only to these. `done` is called once with the final answer, unless it is called off by what is
+        returned. None: nothing was sent."""
         ways = self.border.ways(call.class_name, now_us(), path)
+        if group is not None:
+            ways = tuple(route for route in ways if group_of(route) == group)
         if not ways or call.upload is not None:
             self.counts["no_way"] += 1
             return None
@@ -221,6 +241,14 @@
             lane.agent.close()
 
 
+def _key(call: Call) -> bytes:
+    """By which servers drop repeats of it; empty if they do not."""
+    for name, value in call.payload.headers:
+        if name.lower() == b"idempotency-key":
+            return bytes(value)
+    return b""
+
+
 def _on_its_way(call: Call, path: tuple[str, ...], budget_us: int) -> Call:
     payload: Payload = call.payload
     headers = [*_without(payload.headers), (PATH, ",".join(path).encode())]
@@ -241,6 +269,10 @@
         super().__init__(*told)
         self._outside: dict[int, Callable[[], None]] = {}  # requests under way beyond the border
         self.paths: dict[int, tuple[str, ...]] = {}  # of requests that came from partners
+        self._never_ran: dict[int, int] = {}  # request -> attempts of which that is proven
+        # Keys of requests that may have run -> in which group ("" for this site's servers), until when, and
+        # by which request.
+        self._keys: OrderedDict[bytes, tuple[str, float, int]] = OrderedDict()
 
     def reload(self, config: Config) -> None:
         super().reload(config)
@@ -263,27 +295,105 @@
         outward = self.outward
         if outward is None or held.id in self._outside:
             return False
-        cls = self._classes.get(held.call.class_name)
         # Risk: an effect twice. A repeat of a key is dropped only by those that remember it, which servers
         # beyond the border do not; a refusal of one that may have run here is no proof for there.
-        if cls is None or (cls.effect is api.Effect.KEYED and held.attempts):
+        if not self._harmless_elsewhere(held):
+            return False
+        key = _key(held.call)
+        if key and self._keys.get(key, ("", 0.0, 0))[2] == held.id:
+            del self._keys[key]  # none of its own attempts has run
+        if key and (held.call.is_retry or self._remembered(key) is not None):
             return False
-        path = self.paths.get(held.id, ())
+        return self._send_outside(held, key, None, refused.retry_after_us)
+
+    def _send_outside(self, held: Held, key: bytes, group: str | None, retry_after_us: int) -> bool:
+        outward, path = self.outward, self.paths.get(held.id, ())
+        if outward is None:
+            return False
+        if key and group is None:
+            # One group, by the key: a repeat has to come to the same one, from another agent too.
+            groups = sorted(outward.groups(held.call.class_name, path))
+            group = groups[zlib.crc32(key) % len(groups)] if groups else ""
 
         def done(final: Final) -> None:
             self._outside.pop(held.id, None)
             if isinstance(final, Refused):
-                final = Refused(max(final.retry_after_us, refused.retry_after_us))
+                final = Refused(max(final.retry_after_us, retry_after_us))
             self._finish(held, final)
 
-        call_off = outward.send(held.call, path, self.left_us(held), done)
+        call_off = outward.send(held.call, path, self.left_us(held), done, group)
         if call_off is None:
             return False
         self._outside[held.id] = call_off
+        if key and group:
+            self._remember(held, key, group)
         return True
 
+    # Keys
+
+    def _remember(self, held: Held, key: bytes, group: str) -> None:
+        """An attempt of this key may run in this group. Risk: a caller that repeats it is served by others,
+        who do not know of it."""
+        cls = self._classes.get(held.call.class_name)
+        until = self._loop.time() + (0 if cls is None else cls.dedup_window_us) / 1e6
+        self._keys.setdefault(key, (group, until, held.id))
+        while len(self._keys) > KEYS_MOST:
+            self._keys.popitem(last=False)
+
+    def _remembered(self, key: bytes) -> str | None:
+        now = self._loop.time()
+        while self._keys and next(iter(self._keys.values()))[1] <= now:
+            self._keys.popitem(last=False)
+        known = self._keys.get(key)
+        return None if known is None or known[1] <= now else known[0]
+
+    def take(self, call: Call) -> Held:
+        key = _key(call) if self.outward is not None else b""
+        group = self._remembered(key) if key else None
+        if not group:
+            return super().take(call)
+        # It has gone over the border before, and may have run there.
+        self._count += 1
+        held = Held(self._count, call, self._loop.create_future())
+        self._held[held.id] = held
+        self._open_ids.add(call.client_id)
+        left_us = call.budget_us - DEADLINE_MARGIN_US
+        held.overdue = self._loop.call_later((left_us + OVERDUE_US) / 1e6, self._overdue, held)
+        if not self._send_outside(held, key, group, 0):
+            self._finish(held, Failed())
+        return held
+
+    def _send(self, action: api.Send) -> None:
+        held = self._held.get(action.request_id)
+        key = _key(held.call) if held is not None and self.outward is not None else b""
+        if held is not None and key:
+            self._remember(held, key, "")
+        super()._send(action)
+
+    def _harmless_elsewhere(self, held: Held) -> bool:
+        """Whether servers that know nothing of this one's attempts may have it: an unsafe request is refused
+        only if none can have run; of a keyed one that has to be known as well."""
+        cls = self._classes.get(held.call.class_name)
+        if cls is None or cls.effect is not api.Effect.KEYED:
+            return cls is not None
+        return held.attempts == self._never_ran.get(held.id, 0)
+
+    def _ended(self, held: Held, key: tuple[int, int], ended: Ended, elapsed_us: int) -> None:
+        if ended.outcome in api.NEVER_RAN and held.id in self._held:
+            self._never_ran[held.id] = self._never_ran.get(held.id, 0) + 1
+        super()._ended(held, key, ended, elapsed_us)
+
+    def _finish(self, held: Held, answer: Final) -> bool:
+        away = held.id in self.paths or self.outward is not None
+        if away and isinstance(answer, Refused) and not self._harmless_elsewhere(held):
+            # A refusal says that a repeat does no harm. That those who have it would drop it is so in this
+            # site alone, and a repeat may come to another.
+            answer = Failed()
+        return super()._finish(held, answer)
+
     def _end(self, held: Held) -> bool:
         self.paths.pop(held.id, None)
+        self._never_ran.pop(held.id, None)
         ended = super()._end(held)
         call_off = self._outside.pop(held.id, None)
         if call_off is not None:
@@ -368,12 +478,12 @@
         inner = agent.take(own)
         if inner.answer.done():
             agent.paths.pop(number, None)
-            self._done(outer, inner, inner.answer.result())
+            self._done(outer, inner.answer.result())
             return
         self._call_off[outer.id] = lambda: agent.abandon(inner)
         if call.upload is not None:
             self._uploads[outer.id] = inner
-        inner.told = lambda: self._done(outer, inner, inner.answer.result())
+        inner.told = lambda: self._done(outer, inner.answer.result())
 
     def _through(self, outer: Held, call: Call, path: tuple[str, ...]) -> None:
         """On its way to another site: this one's servers have no part in it."""
@@ -403,12 +513,9 @@
         if offer is not None:
             self._passage.left(offer)
 
-    def _done(self, outer: Held, inner: Held, final: Final) -> None:
+    def _done(self, outer: Held, final: Final) -> None:
         if isinstance(final, Refused):
-            cls = self._agent.request_class(outer.call.class_name)
-            keyed = cls is None or cls.effect is api.Effect.KEYED
-            # A refusal here may rest on that a repeat would be dropped, which is so in this site alone.
-            final = Failed() if keyed and inner.attempts else rejected(final.retry_after_us)
+            final = rejected(final.retry_after_us)
         self._finish(outer, final)
 
     def _finish(self, outer: Held, final: Final) -> None:
--- /dev/null
+++ b/tests/storm/test_sites.py
@@ -0,0 +1,141 @@
+"""Partner sites between real processes: four sites of three hosts, faults between them, and books that tell
+what crossed and what was served."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from sorrelfront.lab.storm.history import read
+from sorrelfront.lab.storm.run import play
+from sorrelfront.lab.storm.scenario import parse
+from tests.storm.test_storms import fault
+
+HEAD = """
+[storm]
+name = "{name}"
+seconds = {seconds}
+hosts = 12
+instances = 1
+servers = 8
+fleet = true
+copies = true
+sites = 4
+hostile = {hostile}
+hang_ms = 20000
+plant = "{plant}"
+[load]
+clients = 1
+pause_ms = 40
+[expect]
+settle_s = 60
+answers = 5
+breach = "{breach}"
+[void]
+lag_ms = 5000
+relay_us = 1000000
+"""
+SITE = {number: [f"h{at}" for at in range(3 * number - 2, 3 * number + 1)] for number in range(1, 5)}
+EVERY = [host for hosts in SITE.values() for host in hosts]
+Event = dict[str, Any]
+
+
+def trouble(
+    what: str, at: float, lasts: float, hosts: list[str], to: list[str] | None = None, size: float = 0
+) -> str:
+    rows = [f'what = "{what}"', f"at = {at}", f"hosts = {json.dumps(hosts)}"]
+    rows += [f"lasts = {lasts}"] if lasts else []
+    rows += [f"to = {json.dumps(to)}"] if to else []
+    rows += [f"size = {size}"] if size else []
+    return "[[faults]]\n" + "\n".join(rows) + "\n"
+
+
+def down(site: int, at: float, lasts: float) -> str:
+    """All servers of a site are gone for a while, so its requests go to others."""
+    servers = [f"s{2 * site - 1}", f"s{2 * site}"]
+    return f'[[faults]]\nwhat = "server-kill"\nat = {at}\nlasts = {lasts}\nto = {json.dumps(servers)}\n'
+
+
+def storm(
+    name: str, faults: str, seconds: float, folder: Path, hostile: int = 0, plant: str = "", seed: int = 1
+) -> tuple[dict[str, Any], list[Event]]:
+    breach = "partners" if plant else ""
+    head = HEAD.format(name=name, seconds=seconds, hostile=hostile, plant=plant, breach=breach)
+    verdict = play(parse((head + faults).encode(), Path(f"{name}.toml")), seed, folder)
+    return verdict, read(folder / "history.jsonl")
+
+
+STORMS = {
+    # Site 4 withdraws all while site 2, which goes to it, hears nothing of it.
+    "withdrawn-in-a-partition": down(2, 0.3, 7.0)
+    + trouble("cut", 1.5, 5.0, SITE[2], SITE[4])
+    + trouble("terms", 2.0, 0, SITE[4], size=2),
+    # Terms change all the time while requests are under way.
+    # The same where requests still come through.
+    "withdrawn-and-nobody-hears": down(2, 0.3, 7.0)
+    + trouble("deaf", 1.5, 5.0, SITE[2], SITE[4])
+    + trouble("terms", 2.0, 0, SITE[4], size=2),
+    "narrowed-under-way": down(1, 0.3, 6.0)
+    + "".join(trouble("terms", 1.0 + step, 0, SITE[2], size=(step + 1) % 3) for step in range(5)),
+    # The only way to site 4, all of site 2's gateways, is gone.
+    "the-only-gateways-killed": down(1, 0.3, 6.0) + trouble("kill", 1.5, 2.5, SITE[2]),
+    # Of site 1's two parts one alone reaches its partners.
+    "split-in-halves": down(1, 0.3, 6.0)
+    + trouble("cut", 1.5, 3.5, ["h1"], ["h2", "h3"])
+    + trouble("cut", 1.5, 3.5, ["h2", "h3"], [*SITE[2], *SITE[3]]),
+    "all-killed-and-started": down(3, 0.3, 6.0) + trouble("power", 2.0, 1.5, EVERY),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", STORMS)
+def test_nothing_goes_against_terms(name: str, tmp_path: Path) -> None:
+    verdict, events = storm(name, STORMS[name], 8.0, tmp_path)
+    assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)
+    crossed = Counter((event["path"], event["class"]) for event in events if event["kind"] == "cross")
+    assert sum(crossed.values()) > 20, crossed
+
+
+def test_a_hostile_site_widens_nothing_and_pushes_nothing_out(tmp_path: Path) -> None:
+    verdict, events = storm("hostile", down(1, 0.3, 5.0) + down(4, 1.0, 5.0), 7.0, tmp_path, hostile=3)
+    assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)
+    # Site 1 and site 4 are served by way of site 2 all the same.
+    served = Counter(
+        event["path"] for event in events if event["kind"] == "cross" and event["dst"] in SITE[2]
+    )
+    assert served["site1"] and served["site4"], served
+    assert any("are not used" in event["line"] for event in events if event["kind"] == "said")
+
+
+def test_terms_widened_on_the_way_and_believed_are_found(tmp_path: Path) -> None:
+    faults = down(1, 0.3, 5.0) + down(2, 0.3, 5.0)
+    verdict, _ = storm("widened", faults, 6.0, tmp_path, hostile=3, plant="believes-widened")
+    assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)  # the breach was found
+
+
+def test_a_lifetime_by_the_time_of_day_is_found(tmp_path: Path) -> None:
+    faults = (
+        down(2, 0.3, 7.5)
+        + trouble("deaf", 1.5, 6.0, SITE[2], SITE[4])
+        + trouble("terms", 1.7, 0, SITE[4], size=2)
+        + trouble("clock-step", 1.8, 0, SITE[2], size=-3600)
+    )
+    verdict, _ = storm("by-the-day", faults, 8.0, tmp_path, plant="wall-lifetimes")
+    assert verdict["result"] == "held", json.dumps(verdict["rules"], indent=1)
+
+
+def test_faults_are_checked_with_the_sites(tmp_path: Path) -> None:
+    from sorrelfront.daemon.configuration import BadDocument
+
+    for wrong in ("sites = 3", "sites = 1"):
+        text = HEAD.format(name="x", seconds=1.0, hostile=0, plant="", breach="").replace("sites = 4", wrong)
+        with pytest.raises(BadDocument):
+            parse((text.replace("hosts = 12", "hosts = 10")).encode(), tmp_path / "x.toml")
+    text = HEAD.format(name="x", seconds=1.0, hostile=0, plant="", breach="").replace(
+        "sites = 4", "sites = 0"
+    )
+    with pytest.raises(BadDocument):
+        parse((text + fault("terms", 0.1, 0, "h1", "size = 1")).encode(), tmp_path / "x.toml")
