--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -114,7 +114,7 @@
     took = time.perf_counter() - began
     routes = [len(border.table) for border in borders.values()]
     print(
-        f"{count} sites, {sum(map(len, links.values())) // 2} links: settled after {rounds - 1} rounds of asking; "
+        f"{count} sites, {sum(map(len, links.values())) // 2} links: settled after {rounds - 1} rounds; "
         f"{sum(routes) / count:.1f} routes a border, {max(routes)} at most; {took:.1f} s of one core, "
         f"{took / rounds / count * 1e3:.2f} ms a border and round"
     )
