--- a/sorrelfront/decisions/sites/routes.py
+++ b/sorrelfront/decisions/sites/routes.py
@@ -15,7 +15,7 @@
 
 import hashlib
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Annotated, NamedTuple
 
@@ -337,6 +337,11 @@
             if item.until_us is None or now < item.until_us
         }
 
+    @property
+    def heard_itself(self) -> Container[tuple[str, str]]:
+        """Gateways, as (owner, gateway), that have told their offers themselves in this life."""
+        return self._floors.keys()
+
     # Asking
 
     def peer(self, name: str, partner: str, first: int = 0) -> None:
--- a/sorrelfront/lab/sites/routes.py
+++ b/sorrelfront/lab/sites/routes.py
@@ -90,7 +90,6 @@
     epoch: int
     up: bool = True
     frozen: bool = False
-    began: int = 0
     waits: dict[str, tuple[int, int]] = field(default_factory=dict)  # peer -> number awaited, since when
     pending: set[str] = field(default_factory=set)  # peers that are to be asked again once they answer
     askers: dict[str, int] = field(default_factory=dict)  # nodes that asked -> when they had news last
@@ -108,7 +107,7 @@
     cls: str
     id: OfferId
     to: str
-    began: int  # when the process that sent it did
+    heard: bool  # the process that sent it has heard the offer's gateway itself
 
 
 class Served(NamedTuple):
@@ -201,7 +200,6 @@
         border.configure(site.partners.values(), site.lent.values(), now)
         node = self.nodes[name] = Node(site.name, name, border, Passage(site.name), rate, epoch)
         mates = any(self.nodes[mate].up for mate in site.gateways if mate != name and mate in self.nodes)
-        node.began = self.now
         if epoch > 1 or mates:  # else it has neither its disk nor anybody to ask
             for id, mark in self.marks[site.name].items():
                 border.on_mark(id, mark, now)
@@ -354,7 +352,8 @@
             return
         route = self.random.choice(ways)
         way = (*path, node.site)
-        self.sent.append(Sent(self.now, number, way, cls, route.id, route.sites[0], node.began))
+        heard = (route.id.owner, route.id.gateway) in node.border.heard_itself
+        self.sent.append(Sent(self.now, number, way, cls, route.id, route.sites[0], heard))
         to = route.peer
         pair = frozenset((node.site, route.sites[0]))
         if pair in self.cut:
@@ -529,11 +528,8 @@
             since = item.t - self._longest_us(id, item.t)
             if self._can_hear(item):
                 since = max(since, item.t - TOLD_US)
-            neighbours = self.sites[item.path[-1]].partners
-            changed = max((began for began, _ in self.truth[id] if began <= item.t), default=0)
-            fresh = item.began > changed
-            if item.to == HOSTILE != id.owner and (fresh or not neighbours[id.owner].neighbour):
-                # Who hears of an offer through a hostile site alone, from its own start on, can be told of it
+            if item.to == HOSTILE != id.owner and not item.heard:
+                # Who hears of an offer through a hostile site alone, since its own start, can be told of it
                 # late: no clock is common to them. The owner's gateway turns its requests away.
                 self.withheld += 1
                 continue
