A partner that tells very much has a twentieth of a core, and forged chains a few looks

Now one answer of a partner is checked at a time, and rests for twenty times what it took; after 16 bad signatures the rest of an answer is not looked at.

--- a/sorrelfront/decisions/sites/offers.py
+++ b/sorrelfront/decisions/sites/offers.py
@@ -21,6 +21,7 @@
 COST_MOST = 1_000_000
 COUNT_MOST = 2**63 - 1
 CHAINS_MOST = 4_096  # in one Tell; one with more is refused whole
+FORGED_MOST = 16  # of one answer, that are looked at
 SIGNATURE = 64  # bytes (Ed25519, RFC 8032)
 
 Count = Annotated[int, Meta(ge=0, le=COUNT_MOST)]
@@ -194,8 +195,17 @@
     chains: Iterable[Chain], verify: Verify, known: Callable[[str], bool], good: Container[bytes]
 ) -> list[Why | None]:
     """`authentic` of each. This is what costs, and may be done in a thread: it changes nothing. `good`:
-    digests of chains that were found authentic before."""
-    return [None if digest(chain) in good else authentic(chain, verify, known) for chain in chains]
+    digests of chains that were found authentic before. After FORGED_MOST bad signatures the rest is held to
+    be as bad without a look. Risk: a site that sends thousands of forged chains has them all checked."""
+    found: list[Why | None] = []
+    forged = 0
+    for chain in chains:
+        why = None
+        if digest(chain) not in good:
+            why = Why.SIGNATURE if forged >= FORGED_MOST else authentic(chain, verify, known)
+            forged += why is Why.SIGNATURE
+        found.append(why)
+    return found
 
 
 def authentic(chain: Chain, verify: Verify, known: Callable[[str], bool]) -> Why | None:
--- a/sorrelfront/sites/carrier.py
+++ b/sorrelfront/sites/carrier.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from sorrelfront.decisions.sites.offers import REMEDY, Why, prove
+from sorrelfront.decisions.sites.offers import REMEDY, Chain, Why, prove
 from sorrelfront.decisions.sites.routes import Ask, Border, Lent, News, Partner, Tell
 from sorrelfront.errors import SorrelfrontError
 from sorrelfront.messages import Address
@@ -32,9 +32,10 @@
 ASKS_A_SECOND = 50.0  # of one connection; one that asks more is closed
 AGAIN_S = 0.05  # between two asks of one gateway at the least
 INLINE_MOST = 4  # chains whose signatures are checked in the loop, at about 0.2 ms each; more in a thread
-# Of the time that checking an answer took, that passes before the next ask. Risk: a partner that tells very
-# much and each time something else would have all of this process's time.
-REST = 10
+# Of the time that checking a partner's answer took, that passes before the next one of that partner is
+# checked, whichever gateway sent it. Risk: one that tells very much and each time something else would have
+# all of this process's time.
+REST = 20
 BUFFER_MOST = 256 * 1024  # bytes that wait to be read by one that asks; then it has no news
 # What is told in the log; the rest comes and goes with links, files and processes.
 WRONG = frozenset(
@@ -93,6 +94,8 @@
         self._seen = (-1, -1)
         self._timer: asyncio.TimerHandle | None = None
         self._places: dict[str, str] = {}
+        self._proving: dict[str, asyncio.Lock] = {}  # by partner: one answer is checked at a time
+        self._rests: dict[str, float] = {}  # partner -> until when nothing further of it is checked
         self._silent: set[str] = set()  # told of in the log
         self._refused: dict[str, str] = {}  # partner -> why its chains are refused, as the log was told
         self._closed = False
@@ -336,35 +339,42 @@
                 news = True
         if name not in border.peers:
             return
-        rest_s = await self._heard(name, word)
+        await self._heard(name, word)
         if not news:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(renew_s * self._random.uniform(0.8, 1.2)):
                     while not isinstance(await _next(words), News):
                         pass
-        await asyncio.sleep(max(AGAIN_S, rest_s))
+        await asyncio.sleep(AGAIN_S)
 
-    async def _heard(self, name: str, tell: Tell) -> float:
-        """Hand over what was told; returns for how long to leave it alone."""
+    async def _heard(self, name: str, tell: Tell) -> None:
+        """Hand over what was told."""
         border = self.border
         came = now_us()
         if name in self._places:
             tell = msgspec.structs.replace(tell, place=self._places[name])
         chains = tell.chains or ()
         known = set(border.partners) | {border.site}
-        began = time.monotonic()
         if len(chains) <= INLINE_MOST:
             proven = prove(chains, self.keys.verify, known.__contains__, border.good)
         else:
-            proven = await asyncio.to_thread(prove, chains, self.keys.verify, known.__contains__, border.good)
-        took = time.monotonic() - began
+            proven = await self._prove(tell.site, chains, known)
         if border.on_tell(name, tell, came, proven):
             if name in self._silent:
                 self._silent.discard(name)
                 log.info("%s at %s answers", self._partner(name), name)
             self._tell_refused(name)
         self._after()
-        return took * REST
+
+    async def _prove(self, partner: str, chains: tuple[Chain, ...], known: set[str]) -> list[Why | None]:
+        lock = self._proving.setdefault(partner, asyncio.Lock())
+        async with lock:
+            await asyncio.sleep(max(0.0, self._rests.get(partner, 0.0) - time.monotonic()))
+            found, took_s = await asyncio.to_thread(
+                _timed, prove, chains, self.keys.verify, known.__contains__, self.border.good
+            )
+            self._rests[partner] = time.monotonic() + took_s * REST
+        return found
 
     def _tell_refused(self, name: str) -> None:
         peer = self.border.peers[name]
@@ -413,6 +423,13 @@
         return 0 if held is None else max(0, held.expires_us - now) // 1_000
 
 
+def _timed(what: Callable[..., list[Why | None]], *told: Any) -> tuple[list[Why | None], float]:
+    """What it returns, and the processor's time that it took in this thread, in seconds."""
+    began = time.thread_time()
+    found = what(*told)
+    return found, time.thread_time() - began
+
+
 async def _closed(writer: asyncio.StreamWriter) -> None:
     with contextlib.suppress(OSError):
         await writer.wait_closed()
--- a/tests/sites/test_routes.py
+++ b/tests/sites/test_routes.py
@@ -8,6 +8,7 @@
 import pytest
 
 from sorrelfront.decisions.sites.offers import (
+    FORGED_MOST,
     REMEDY,
     Chain,
     Hop,
@@ -17,11 +18,12 @@
     circle,
     content,
     passed_on,
+    prove,
     signed,
 )
 from sorrelfront.decisions.sites.routes import OWN_MOST, Newest, later, settle
 from sorrelfront.decisions.sites.terms import ANYTHING, terms
-from tests.sites.borders import LEFT_MS, SECOND, SIGN, ask, border, lent, told, ways
+from tests.sites.borders import LEFT_MS, SECOND, SIGN, VERIFY, ask, border, lent, told, ways
 
 ID = OfferId("c", "c/i", "x")
 
@@ -340,3 +342,16 @@
     assert content(offer) == content(msgspec.structs.replace(offer, stamp_ms=9, signature=b""))
     for change in ({"cost": 9}, {"version": 9}, {"birth": 9}, {"terms": ANYTHING}):
         assert content(offer) != content(msgspec.structs.replace(offer, **change))
+
+
+def test_of_thousands_of_forged_chains_a_few_are_looked_at() -> None:
+    good = chain_of("c")
+    forged = [Chain(msgspec.structs.replace(good.offer, name=f"x{number}")) for number in range(2_000)]
+    looked = []
+
+    def verify(site: str, signature: bytes, data: bytes) -> bool:
+        looked.append(site)
+        return VERIFY(site, signature, data)
+
+    found = prove([good, *forged], verify, lambda site: True, ())
+    assert found[0] is None and set(found[1:]) == {Why.SIGNATURE} and len(looked) == 1 + FORGED_MOST
