--- a/tests/sites/test_wire.py
+++ b/tests/sites/test_wire.py
@@ -9,7 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sorrelfront.decisions.sites.routes import News
+from sorrelfront.decisions.sites.offers import CHAINS_MOST, Chain, Offer, Relation
+from sorrelfront.decisions.sites.routes import News, Tell
+from sorrelfront.decisions.sites.terms import terms
 from sorrelfront.sites.keys import BadSiteKey, Keys, make, private, public, told
 from sorrelfront.sites.wire import LENGTH, BadPartnerWord, pack, unpack
 
@@ -82,3 +84,17 @@
         and not b.shows("z", b.ticket("z"))
     )
     assert a.ticket("b") != b.ticket("a")
+
+
+def test_an_answer_with_more_chains_than_may_be_is_refused_whole(tmp_path: Path) -> None:
+    a, b = pair(tmp_path)
+    offer = Offer("a", "a/i", "x", 1, 1, 1, 0, 1, 1, "", terms(left_ms=9_000))
+    for count, good in ((CHAINS_MOST, True), (CHAINS_MOST + 1, False)):
+        chains = (Chain(offer),) * count
+        tell = Tell("a", "b", "a/i", "127.0.0.1:1", 1, 1, 1, 1, b"", chains, (0,) * count, Relation.PEER)
+        frame = pack("a", tell, CHALLENGE, a.sign)[LENGTH:]
+        if good:
+            assert unpack(frame, CHALLENGE, b.verify) == tell
+        else:
+            with pytest.raises(BadPartnerWord, match="cannot be read"):
+                unpack(frame, CHALLENGE, b.verify)
