--- a/sorrelfront/decisions/sites/routes.py
+++ b/sorrelfront/decisions/sites/routes.py
@@ -419,7 +419,7 @@
                 heard = self._first_heard(chain.offer, asked - age_ms * MS)
                 since = asked if not chain.hops else heard
                 why = self._note(chain.offer, self._until(chain.terms, since) <= self.now)
-            if why is not None and not chain.hops:
+            if why in (Why.OLD, Why.WITHDRAWN, Why.FORKED) and not chain.hops:
                 self._outlive(peer, chain.offer)
             if why is not None:
                 peer.refused[why.name] = peer.refused.get(why.name, 0) + 1
--- a/tests/sites/test_passage.py
+++ b/tests/sites/test_passage.py
@@ -10,7 +10,7 @@
 from sorrelfront.decisions.sites.terms import RATE_MOST, terms
 
 SECOND = 1_000_000
-PARTNERS = {name: Partner(name, Relation.PEER) for name in ("a", "b")}
+PARTNERS = {name: Partner(name, Relation.PEER) for name in ("a", "b", "d")}
 
 
 def lent(rate: int = RATE_MOST, capacity: int = 100) -> dict[str, Lent]:
@@ -39,6 +39,7 @@
         ("a", "a", "pay", Turned.FORBIDDEN),
         ("b", "b", "look", Turned.FORBIDDEN),  # it may carry a's, and has none of its own
         ("a", "b,a", "look", Turned.FORBIDDEN),
+        ("d", "a,d", "look", Turned.FORBIDDEN),  # lent to a, and not to be carried by this one
     ],
 )
 def test_turned_away(partner: str | None, path: str, cls: str, why: Turned) -> None:
--- a/tests/sites/test_routes.py
+++ b/tests/sites/test_routes.py
@@ -91,10 +91,13 @@
 
 def test_what_was_long_on_its_way_is_not_withdrawn_by_that() -> None:
     a, c = border("a", {"c": "peer"}), border("c", {"a": "peer"}, [lent()])
-    ask(a, c, SECOND, came=20 * SECOND)
+    ask(a, c, SECOND)
+    c.on_time(5 * SECOND)  # a fresh stamp, so that it is told whole
+    ask(a, c, 5 * SECOND, came=25 * SECOND)
     assert a.peers["c/i"].refused == {"EXPIRED": 1}
-    ask(a, c, 21 * SECOND)
-    assert ways(a, 21 * SECOND) == [("c",)]
+    c.on_time(26 * SECOND)
+    ask(a, c, 26 * SECOND)
+    assert ways(a, 26 * SECOND) == [("c",)] and c.life == (1, 7)  # nor has it to begin another life
 
 
 def test_old_words_told_again_begin_no_new_time() -> None:
