Discovery is asked again within 1.5 s, whatever failed before

Cause: a call that ends without a silence is left to the back-off of the settings' time of asking (10 s): 1.25 to 3.75 s behind the first failure, up to 30 s behind the fourth.

Change: the back-off is drawn around 1 s at most, a process's first call comes within 2 s, so two calls that fail leave 3 s for an answer. The count of failures is bounded too: 2**1024 would have overflowed, after which nothing asks any more. `Asking` is called BackOff, which is what it is.

--- a/sorrelfront/decisions/balancer.py
+++ b/sorrelfront/decisions/balancer.py
@@ -12,7 +12,7 @@
 from random import Random
 
 from sorrelfront.decisions import interface as api
-from sorrelfront.decisions.listing import Asking
+from sorrelfront.decisions.listing import BackOff
 
 # Latencies are kept as multiples of what is usual for the request's class and cost hint, so none of these
 # is in units of one deployment.
@@ -296,7 +296,7 @@
         self.requests = 0
         self.retries = RETRY_BURST
         self.asking = False
-        self.asks = Asking(self.random)
+        self.back_off = BackOff(self.random)
 
     def _adopt_classes(self, settings: api.Settings) -> None:
         """Before its first answer a class is taken to need a third of its aim; that answer replaces the
@@ -323,7 +323,7 @@
 
     def start(self) -> list[api.Action]:
         """The first actions."""
-        return self._ask(self.asks.first(self.settings.ask_within_us))
+        return self._ask(self.back_off.first(self.settings.ask_within_us))
 
     def _ask(self, wait_us: int) -> list[api.Action]:
         if self.asking or not self.settings.subscribe:
@@ -334,9 +334,9 @@
     def on_list(self, event: api.BackendList, now: int) -> list[api.Action]:
         if event.kind is api.ListKind.FAILED:
             # The list held stays in use.
-            return self._ask(self.asks.failed(self.settings.ask_within_us))
+            return self._ask(self.back_off.failed(self.settings.ask_within_us))
         if event.kind is not api.ListKind.CACHED:
-            self.asks.heard()
+            self.back_off.heard()
         known, kept = self.servers, self.servers
         if event.kind is not api.ListKind.DELTA:
             kept = self.servers = {}
--- a/sorrelfront/decisions/listing.py
+++ b/sorrelfront/decisions/listing.py
@@ -4,7 +4,9 @@
 machine. One clock serves all three. A call that says nothing for SILENCE_US is broken, whatever its
 connection looks like; what it missed counts as told COUNTS_US after the silence began, and after a move to
 another address MOVED_US later. Until then the clock asks again soon, by itself; past that, and after ends
-that were seen at once, `Asking` says when, with a back-off that spares a service with too many callers.
+that were seen at once, `BackOff` says when, and spares a service with too many callers. Whatever came before,
+a change counts as told COUNTS_US after the service had it and could be reached, so no wait is longer than
+leaves room for a call and its answer in that time.
 Times are integer microseconds on any clock that never goes back.
 """
 
@@ -23,26 +25,34 @@
 # once, and a shorter wait would burn the core that requests need.
 PUSHED_SOON_US = 200_000
 FIRST_SHARE = 0.5  # of the settings' time of asking, over which agents that start together are spread
+# And no longer than this: a third of COUNTS_US, since the list that a process starts with may be old.
+FIRST_MOST_US = 2_000_000
 BACK_OFF_FIRST, BACK_OFF_MOST = 0.25, 2.0  # shares of that time, drawn from half to one and a half
+# The most that is drawn around: a service that comes back right behind a failed call is asked 1.5 s later at
+# the latest, and again so if it turns that call away, and 3 s are left of COUNTS_US for the answer.
+BACK_OFF_LONGEST_US = 1_000_000
+BACK_OFF_DOUBLINGS = 8  # from BACK_OFF_FIRST far past BACK_OFF_MOST. Risk: a power that grows for hours
 
 
-class Asking:
+class BackOff:
     """When to call a service that answers all agents: seeded, spread, backing off from one that fails."""
 
     def __init__(self, random: Callable[[], float]) -> None:
         self._random = random
-        self.failures = 0  # calls in a row that failed
+        self.failures = 0  # calls in a row that failed, BACK_OFF_DOUBLINGS at most
 
     def first(self, within_us: int) -> int:
-        """The wait before a process's first call. Risk: agents that restart together reach the service
-        together."""
-        return int(FIRST_SHARE * self._random() * within_us)
+        """The wait before a process's first call, in microseconds, `within_us` being the settings' time of
+        asking. Risk: agents that restart together reach the service together."""
+        return int(min(FIRST_SHARE * within_us, FIRST_MOST_US) * self._random())
 
     def failed(self, within_us: int) -> int:
-        """The wait after a call that failed. Risk: hammering a slow service; hence it doubles."""
-        self.failures += 1
+        """The wait after a call that failed. Risk: hammering a slow service; hence it doubles. Harm: it stops
+        doubling at BACK_OFF_LONGEST_US, and a service that is slow for longer is asked by each agent once a
+        second."""
+        self.failures = min(self.failures + 1, BACK_OFF_DOUBLINGS)
         share = min(BACK_OFF_MOST, BACK_OFF_FIRST / 2 * 2**self.failures)
-        return int(share * (0.5 + self._random()) * within_us)
+        return int(min(share * within_us, BACK_OFF_LONGEST_US) * (0.5 + self._random()))
 
     def heard(self) -> None:
         self.failures = 0
@@ -98,7 +108,7 @@
 
     def ended(self, call: Call, now: int, silent: bool) -> int | None:
         """It is over; `silent`: nothing came until `due`. The wait before the next one, or None: that is for
-        `Asking` to say."""
+        `BackOff` to say."""
         if silent and call.answered:
             self._counts(call.since + COUNTS_US)  # the silence began at its last line at the soonest
         if self.pushed:
