An attempt looks again at its client, window, drain and time once its connection is up

Cause, by reading and by the test: the window was looked at when the attempt was decided on, and not when its connection was up, up to the connect time-out later. On the same way three more: a client that had left meanwhile was sent for where the settings allow no calling off; X-Budget told what was left at the decision, though the connection took its time; a server was blamed as unreachable for what was not begun at it because its client had left. Ruled out: the count of the window, which begins at the decision on the first attempt that may have run, and so too early rather than too late.

Change: the module's Send says before when it has to begin (deadline or end of the window), and one predicate of the agent's is asked before the connect, behind it, and before the last byte: client still there, time not up, server still ready. X-Budget is what is left as the request is framed.

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -402,7 +402,7 @@
         if address is not None:
             running = self._upstream.begin(
                 held.call, address, action.timeout_us,
-                lambda: self._directory.is_ready(backend), partial(self._done, held, key, started),
+                partial(self._may_begin, held, action), partial(self._done, held, key, started),
             )  # fmt: skip
             if running is not None:
                 self._running[key] = running
@@ -410,6 +410,13 @@
         task = self._running[key] = asyncio.create_task(self._exchange(held, key, action, started))
         task.add_done_callback(lambda done: self._broke_off(held, key, backend, done, started))
 
+    def _may_begin(self, held: Held, action: api.Send) -> bool:
+        """Asked whenever an attempt that was decided on goes a step further. Risk: by the time its connection
+        is up, its client has left, its server drains, or its servers have forgotten the attempt before it."""
+        if held.id not in self._held or self.now() >= action.begin_before_us:
+            return False
+        return self._directory.is_ready(action.backend)
+
     def _done(self, held: Held, key: tuple[int, int], started: int, ended: Ended) -> None:
         """An attempt without a task of the agent's has ended."""
         del self._running[key]
@@ -449,7 +456,7 @@
         ended = Ended(api.Outcome.UNREACHABLE)
         if address is not None:
             ended = await self._upstream.attempt(
-                held.call, address, action.timeout_us, lambda: self._directory.is_ready(backend)
+                held.call, address, action.timeout_us, partial(self._may_begin, held, action)
             )
         del self._running[key]
         self._ended(held, key, ended, self._elapsed_us(held, started))
@@ -461,5 +468,10 @@
         # Risk: a peer that writes its answer slowly, piece by piece, passes for one with a queue, and what
         # would be served in time is refused. What was waited for is the answer's first byte.
         waited_us = max(0, elapsed_us - ended.tail_us)
-        event = api.AttemptEnded(*key, ended.outcome, waited_us, finished)
+        outcome = ended.outcome
+        if outcome is api.Outcome.UNREACHABLE and held.id not in self._held:
+            # Risk: a server is shut as unreachable since nothing was begun for a client that had left. Harm:
+            # one that could not be reached in fact shows by the next attempt.
+            outcome = api.Outcome.UNSENT
+        event = api.AttemptEnded(*key, outcome, waited_us, finished)
         self._tell(self.balancer.on_attempt_ended, event, held)
--- a/sorrelfront/decisions/balancer.py
+++ b/sorrelfront/decisions/balancer.py
@@ -518,12 +518,14 @@
         if not held.arriving:
             # Risk: a client that sends slowly would make its server look silent, and crowded for as long.
             server.pending[key] = (now, held.expected_us)
+        # Risk: decided within the window and begun behind it, where a connection comes up late.
+        begin_before_us = min(held.request.deadline_us, self._window_end(held))
         held.risky[held.attempts] = (now, server.info)
         held.open.add(held.attempts)
         held.tried.append(server)
         held.attempts += 1
         server.shut.try_once(now, self.settings.connect_timeout_us)
-        return [api.Send(held.request.id, server.info.id, left_us)]
+        return [api.Send(held.request.id, server.info.id, left_us, begin_before_us)]
 
     def _allowed(self, held: Held, now: int) -> list[Server]:
         """The servers a request may go to. Risk: an effect twice. Once an attempt may have run, an unsafe
@@ -533,15 +535,23 @@
             return self.slice
         if held.cls.effect is api.Effect.UNSAFE:
             return []
-        sent_at, info = next(iter(held.risky.values()))
-        if now >= sent_at + held.cls.dedup_window_us:
+        if now >= self._window_end(held):
             return []
+        _, info = next(iter(held.risky.values()))
         if held.cls.scope is api.Scope.ZONE:
             return [server for server in self.ready if server.info.zone == info.zone]
         if held.cls.scope is api.Scope.CELL:
             return [server for server in self.ready if server.info.cell == info.cell]
         return self.slice
 
+    def _window_end(self, held: Held) -> int:
+        """When the servers may forget a keyed request, so that no repeat may begin any more; its deadline
+        where nothing has to be remembered."""
+        if not held.risky or held.cls.effect is not api.Effect.KEYED:
+            return held.request.deadline_us
+        sent_at, _ = next(iter(held.risky.values()))
+        return sent_at + held.cls.dedup_window_us
+
     def _pick(self, pool: list[Server], held: Held, now: int) -> Server | None:
         """The less loaded of two random servers. A cold one takes part only as the first drawn, kept by the
         chance of its warmth, and never in a retry: so its share is at most this agent's mean rate for a
--- a/sorrelfront/decisions/interface.py
+++ b/sorrelfront/decisions/interface.py
@@ -173,9 +173,13 @@
 
 
 class Send(NamedTuple):
+    """An attempt. It may be on its way to its backend for a while; nothing of it begins there once the clock
+    is at `begin_before_us`."""
+
     request_id: int
     backend: str
     timeout_us: int
+    begin_before_us: int
 
 
 class Refuse(NamedTuple):
--- a/sorrelfront/platform/adapter.py
+++ b/sorrelfront/platform/adapter.py
@@ -123,7 +123,7 @@
 
 def encode(who: str, action: api.Action) -> str:
     match action:
-        case api.Send(request_id, backend, timeout_us):
+        case api.Send(request_id, backend, timeout_us, _):
             return f"DISPATCH\twho={who}\ttxn={request_id}\tbackend={backend}\ttimeoutUs={timeout_us}\n"
         case api.SetTimer(delay_us, tag):
             return f"SET_TIMER\twho={who}\tfromNowUs={delay_us}\ttag={tag}\n"
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -244,7 +244,7 @@
         self._upstream = upstream
         self._call = call
         self._address = address
-        self._timeout_us = timeout_us
+        self._due = time.monotonic() + timeout_us / 1e6
         self._fit = fit
         self.sent = False  # the last byte may have left: from here on the request may run
         self.late: Ended | None = None  # what had come, unread, when the time was up
@@ -272,6 +272,9 @@
             wire = await self._upstream.connect(self._address)
         except OSError:
             return Ended(Outcome.UNREACHABLE)
+        if not self._fit():  # it may have taken its time
+            self._upstream.drop(wire)
+            return Ended(Outcome.UNREACHABLE)
         return await self._on(wire, rested=False, at_once=False) or Ended(Outcome.UNREACHABLE)
 
     async def _on(self, wire: Wire, rested: bool, at_once: bool) -> Ended | None:
@@ -331,8 +334,11 @@
         headers = [item for item in payload.headers if item[0] == b"host"]
         headers += [item for item in payload.headers if item[0] != b"host"]
         upload = self._call.upload
-        # A long body comes without its time being counted.
-        budget_us = self._timeout_us if upload is None else self._call.budget_us
+        # What is left now. Risk: told what was left at the decision, a server works on for a client that has
+        # given up, by as long as the connection took to come up. A long body comes without its time being
+        # counted.
+        left_us = max(0, int((self._due - time.monotonic()) * 1e6))
+        budget_us = left_us if upload is None else self._call.budget_us
         headers.append((b"X-Budget", b"%du" % budget_us))
         if upload is not None:
             if upload.length is None:
