An agent with idle servers no longer refuses everything for want of news

A trace of agents that sent nothing for 3 to 7 s on end with 15 to 530 requests taken: none of their servers had anything pending, latest answers 2 to 13 s old, forecasts 1.3 to 2.8, and "usual" latencies of 0.62 to 0.76 s for the dearest class, whose aim is 0.70 s. n16: late 0.71, stock 0.52 of 0.5 s, kinds 2.78 x usual; 530 refused, 0 sent.

Three causes, in balancer.py: 1. _hopeless: the wait left to a class is its aim less its usual latency. A process that starts in a crowd takes the crowd for usual; from there the wait left is nothing or less, for the dearest class and by its rank for all. Now it is a quarter of the aim at least. 2. _hopeless lets one in a hundred through by chance. At 7 to 20 requests a second that is one in 5 to 14 s. Now one goes whenever nothing was sent for a mean aim (1 s at most) as well. 3. _learn counted the first answers of a class against a guess (a third of its aim) that the first of them replaces: kinds of servers kept 2 to 3 x "usual" for as long as refusals brought no answers. An answer now counts against what its class has become by it. Ruled out: want of servers (p0 everywhere), the retry budget (19 and 20 of 20), the list.

Each of the three tests fails without the change.

--- a/sorrelfront/decisions/balancer.py
+++ b/sorrelfront/decisions/balancer.py
@@ -30,6 +30,10 @@
 SLACK = 0.9  # share of the room between usual latency and aim that a request may be expected to wait
 LATE = 0.05  # late share tolerated before refusing in earnest; what late answers still earn is added
 LET_THROUGH = 0.01  # hopeless requests sent all the same: without samples nobody would see the trouble end
+# And one whenever nothing was sent for a mean aim, this at most: an agent with little traffic has no hundred
+# requests in the seconds for which a trouble lasts.
+PROBE_MOST_US = 1_000_000
+ROOM_LEAST = 0.25  # share of its aim that a request may be expected to wait, however long its usual latency
 COME_BACK = 0.25  # share of its aim that a refused client is told to stay away
 SILENT = 3.0  # intervals between answers that a silence may last by chance: one in twenty is longer
 SILENT_LONG = 8.0  # usual latencies: one that looks silent for longer is drawn only where all others do too
@@ -257,12 +261,12 @@
 class Held:
     """A request that still owes its final answer."""
 
-    __slots__ = ("arrived", "arriving", "attempts", "cls", "expected_us", "open", "request", "risky", "tried")
+    __slots__ = ("arrived", "arriving", "attempts", "cls", "open", "request", "risky", "tried", "units")
 
-    def __init__(self, request: api.Request, cls: api.RequestClass, expected_us: float, now: int) -> None:
+    def __init__(self, request: api.Request, cls: api.RequestClass, units: float, now: int) -> None:
         self.request = request
         self.cls = cls
-        self.expected_us = expected_us
+        self.units = units  # of its class's usual latency, that it may be expected to take
         self.arrived = now
         self.arriving = request.arriving
         self.attempts = 0
@@ -283,6 +287,8 @@
         aims = [cls.aim_us for cls in settings.classes]
         self.decay_us = DECAY_AIMS * sum(aims) / len(aims)
         self.recent_us = RECENT_AIMS * sum(aims) / len(aims)
+        self.probe_us = min(PROBE_MOST_US, sum(aims) / len(aims))
+        self.sent_at = now  # the last attempt
         self._adopt_classes(settings)
         self.common_us = 0.0  # the usual latency of a request of any class
         self.late = Recent(0.0, self.recent_us)  # share of recent attempts that missed their aim
@@ -291,7 +297,7 @@
         self.ready: list[Server] = []
         self.slice: list[Server] = []
         self.held: dict[int, Held] = {}
-        # What is out: where, expected latency, class, and how many of our own were ahead of it there.
+        # What is out: where, units of its class's usual latency, class, and how many of our own were ahead.
         self.attempts: dict[tuple[int, int], tuple[Server, float, api.RequestClass, int]] = {}
         self.requests = 0
         self.retries = RETRY_BURST
@@ -373,15 +379,15 @@
 
     def on_request(self, event: api.Request, now: int) -> list[api.Action]:
         cls = self.classes[event.class_name]
-        expected_us = self.usual[cls.name].value
+        units = 1.0
         if event.cost_hint_us > 0:
             # Risk: one costly request brands a healthy server. Half, since waiting does not grow with the
             # cost.
             hints = self.hints[cls.name]
             hints.add(event.cost_hint_us)
-            expected_us *= 0.5 + 0.5 * min(8.0, event.cost_hint_us / hints.value)
+            units = 0.5 + 0.5 * min(8.0, event.cost_hint_us / hints.value)
         self.common_us += (self.usual[cls.name].value - self.common_us) / min(MEMORY, self.requests + 1)
-        held = self.held[event.id] = Held(event, cls, max(1.0, expected_us), now)
+        held = self.held[event.id] = Held(event, cls, units, now)
         retries = self.retries + RETRY_SHARE
         self.retries = retries if retries < RETRY_BURST else RETRY_BURST
         self.requests += 1
@@ -406,9 +412,9 @@
         held.request = held.request._replace(deadline_us=event.deadline_us, arriving=False)
         for attempt in sorted(held.open):
             key = (event.request_id, attempt)
-            server, expected_us, cls, _ = self.attempts[key]
-            self.attempts[key] = (server, expected_us, cls, len(server.pending))
-            server.pending[key] = (now, expected_us)
+            server, units, cls, _ = self.attempts[key]
+            self.attempts[key] = (server, units, cls, len(server.pending))
+            server.pending[key] = (now, self._expected_us(units, cls))
         return []
 
     def on_stream_started(self, event: api.StreamStarted, now: int) -> list[api.Action]:
@@ -422,11 +428,11 @@
         key = (event.request_id, event.attempt)
         if key not in self.attempts:
             return []
-        server, expected_us, cls, ahead = self.attempts.pop(key)
+        server, units, cls, ahead = self.attempts.pop(key)
         worked = server.pending.pop(key, None) is not None
         # Called off before the server had all of it, it tells nothing of the server.
         if worked or event.outcome is not api.Outcome.CANCELLED:
-            self._learn(server, event, expected_us, cls, ahead, now)
+            self._learn(server, event, units, cls, ahead, now)
         held = self.held.get(event.request_id)
         if held is None:
             return []
@@ -444,19 +450,27 @@
         self.retries -= 1.0
         return self._place(held, now)
 
+    def _expected_us(self, units: float, cls: api.RequestClass) -> float:
+        return max(1.0, units * self.usual[cls.name].value)
+
     def _learn(
         self,
         server: Server,
         event: api.AttemptEnded,
-        expected_us: float,
+        units: float,
         cls: api.RequestClass,
         ahead: int,
         now: int,
     ) -> None:
         outcome = event.outcome
-        sample = event.elapsed_us / expected_us
         if outcome is api.Outcome.UNSENT:
             return
+        if outcome is api.Outcome.OK:
+            # Ahead of what is made of it. Risk: where the guess for a class was a third of what is usual, its
+            # first answers say that all servers take three times as long; the class learns at once, they
+            # do not, and idle servers pass for crowded ones.
+            self.usual[cls.name].add(event.elapsed_us)
+        sample = event.elapsed_us / self._expected_us(units, cls)
         if outcome is api.Outcome.CANCELLED or outcome is api.Outcome.TIMEOUT:
             # It would have taken longer: never a reason to think better of the server.
             server.observe(max(sample, server.project(now)), now, ahead=ahead)
@@ -470,7 +484,6 @@
         else:
             server.observe(sample, now, ahead=ahead)
             server.kind.hear(sample, ahead, now)
-            self.usual[cls.name].add(event.elapsed_us)
         unit_us = self.settings.connect_timeout_us
         if outcome is api.Outcome.UNREACHABLE or outcome is api.Outcome.RESET:
             if server.heard_at < 0 or now - server.heard_at > unit_us or server.shut.failures:
@@ -514,10 +527,11 @@
         if server is None:
             return self._end(held)
         key = (held.request.id, held.attempts)
-        self.attempts[key] = (server, held.expected_us, held.cls, len(server.pending))
+        self.attempts[key] = (server, held.units, held.cls, len(server.pending))
+        self.sent_at = now
         if not held.arriving:
             # Risk: a client that sends slowly would make its server look silent, and crowded for as long.
-            server.pending[key] = (now, held.expected_us)
+            server.pending[key] = (now, self._expected_us(held.units, held.cls))
         # Risk: decided within the window and begun behind it, where a connection comes up late.
         begin_before_us = min(held.request.deadline_us, self._window_end(held))
         held.risky[held.attempts] = (now, server.info)
@@ -590,22 +604,29 @@
     def _hopeless(self, held: Held, server: Server, now: int) -> bool:
         """Whether even the better of two servers is expected to answer too late. Risk: in overload, work
         that comes too late to count keeps everybody else late too, and clients come back for more. The
-        fewer answers have come late of late, the less a bad forecast is believed."""
+        fewer answers have come late of late, the less a bad forecast is believed; where nothing was sent
+        for a while it is not believed at all."""
+        if now - self.sent_at >= self.probe_us:
+            return False
         cls, dearest = held.cls, self.dearest
         # All classes wait in the same queues, so the wait that each may expect is laddered by worth below
         # that of the dearest, and what has no room of its own goes first. Risk: the class of longest usual
         # latency makes way for cheaper ones.
         rank = self.rank.get(cls.name, 1.0)  # the class may have left the settings since
-        room_us = min(
-            cls.aim_us - self.usual[cls.name].value,
-            (dearest.aim_us - self.usual[dearest.name].value) * rank,
-        )
+        room_us = min(self._room_us(cls), self._room_us(dearest) * rank)
         tolerance = max(1.0, (LATE + cls.late_worth) / (self.late.read(now) + 1e-9))
         # A repeat has spent at least the time it was told to stay away.
         spent_us = now - held.arrived + (cls.aim_us * COME_BACK if held.request.is_retry else 0.0)
         wait_us = (server.forecast(now) - 1.0) * self.common_us
         return wait_us > SLACK * room_us * tolerance - spent_us and self.random() >= LET_THROUGH
 
+    def _room_us(self, cls: api.RequestClass) -> float:
+        """What a request of this class may wait beyond its usual latency. Risk: what a process learns in a
+        crowd, it takes for usual. Where that comes to the aim no wait at all is left, the dearest class takes
+        the others' room with it, and with every server idle everything is refused. Harm: a class that can
+        hardly be served in time at rest is sent all the same."""
+        return max(cls.aim_us - self.usual[cls.name].value, ROOM_LEAST * cls.aim_us)
+
     def _end(self, held: Held) -> list[api.Action]:
         """The final answer. A refusal says that a retry does no harm: only where no attempt may have run,
         or where the repeat is dropped or borne by every server."""
--- a/tests/test_estimate.py
+++ b/tests/test_estimate.py
@@ -97,6 +97,52 @@
     assert made.servers[target].project(1_000) >= before
 
 
+def test_the_first_answers_of_a_class_say_nothing_of_its_servers() -> None:
+    """The guess is a third of the aim. Counted against it, every server takes three times what is usual."""
+    made = balancer(1)
+    for number in range(4):
+        request(made, number, SAFE, 0)
+    for number in range(4):  # all were sent under the guess
+        ended(made, number, 0, Outcome.OK, 100_000, elapsed_us=SAFE.aim_us)
+    (one,) = made.servers.values()
+    assert made.usual[SAFE.name].value == pytest.approx(SAFE.aim_us)
+    assert one.kind.usual.value == pytest.approx(1.0) and one.forecast(100_000) == pytest.approx(1.0)
+
+
+def never() -> float:
+    """A draw by which nothing is let through."""
+    return 0.999
+
+
+def test_what_was_learnt_in_a_crowd_does_not_have_idle_servers_refuse() -> None:
+    """Its usual latency has come to the aim: no wait would be left, and the dearest takes the others' room."""
+    made = balancer(4)
+    for cls in made.classes.values():
+        made.usual[cls.name].value = cls.aim_us
+    made.common_us, made.requests, made.random = SAFE.aim_us, 64, never
+    for kind in made.kinds.values():
+        kind.value = kind.usual.value = 1.1  # a tenth of it above the usual
+    made.sent_at = 1_000_000
+    assert len(sends(request(made, 1, SAFE, 1_000_000))) == 1
+
+
+def test_an_agent_that_refuses_everything_tries_once_a_mean_aim() -> None:
+    """Nothing of what it goes by is news: with little traffic, one in a hundred is none in many seconds."""
+    made = balancer(4)
+    made.late.set(1.0, 0)
+    made.late.usual.value = 1.0
+    made.common_us, made.requests, made.random = SAFE.aim_us, 64, never
+    for kind in made.kinds.values():
+        kind.value = kind.usual.value = 100.0
+    sent = []
+    for number in range(60):  # a request each 20 ms, every mean aim of 100 ms one goes
+        now = number * 20_000
+        if sends(request(made, number, SAFE, now)):
+            sent.append(now)
+            ended(made, number, 0, Outcome.TIMEOUT, now, elapsed_us=SAFE.aim_us)
+    assert sent == [*range(100_000, 1_200_000, 100_000)]
+
+
 def test_the_let_through_share_is_small() -> None:
     assert 0 < LET_THROUGH < 0.2
 
