--- a/tests/test_estimate.py
+++ b/tests/test_estimate.py
@@ -115,7 +115,7 @@
 
 
 def test_what_was_learnt_in_a_crowd_does_not_have_idle_servers_refuse() -> None:
-    """Its usual latency has come to the aim: no wait would be left, and the dearest takes the others' room."""
+    """Its usual latency has come to the aim: no wait is left, and the dearest takes the others' room."""
     made = balancer(4)
     for cls in made.classes.values():
         made.usual[cls.name].value = cls.aim_us
