A stop answers what it still owes at its last moment, and a client's end is seen behind a flood

Two endings that owed something, found by the review of the paths that end things:

After SIGTERM clients go on sending on connections that stay open. What came more than 0.55 s behind it has a deadline behind the stop's last moment, at which the program closed and ended with the requests still held: lost. Now each is answered as failed there and its attempt called off, a request that has not come whole is refused, and 0.08 s are left for the clients to read that, before SIGKILL may come. Past a request that cannot be served a client is read for 256 KiB, and then no more while answers are owed. Its end lies behind what it has sent, so what it had asked before was sent on, and again, for nobody. Now it is read on slowly (64 KiB each 20 ms) until it is owed nothing.

Tests: with the two mends taken out both new tests fail (the first gets no answer, the second waits for the request to be given up).

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -386,7 +386,11 @@
     def fail_all(self) -> None:
         """Answer every request that is still owed its answer as failed: there is no time left for more."""
         for held in [*self._held.values()]:
-            self._finish(held, Failed())
+            self.fail(held)
+
+    def fail(self, held: Held) -> None:
+        """Answer this request as failed, if it is still owed its answer, and call off what is out for it."""
+        if self._finish(held, Failed()):
             self._tell(self.balancer.on_client_gone, api.ClientGone(held.id))
 
     def _send(self, action: api.Send) -> None:
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -51,11 +51,13 @@
 BLANK_MOST = 64  # bytes of empty lines ahead of a request
 STALL_S = 5.0  # a client that takes nothing for so long has stalled; answers here have 64 KiB at most
 DISCARD_MOST = 256 * 1024  # read past the last request, so that its answer is not overtaken by a reset
+DISCARD_PAUSE_S = 0.02  # between reads past that, while answers are owed: 3 MB a second at most
 LINGER_S = 1.0  # for the client to read the last answer and close. Risk: a reset would overtake the answer
 COME_BACK_S = b"1"  # told with a refusal that the module had no part in: by then the crowd is over
 GOING_AWAY_S = 0.5  # after SIGTERM new connections go on coming for up to 0.4 s
 # Past the longest deadline, the most that SIGTERM may take: SIGKILL comes 0.7 s past it at the soonest.
 GOING_AWAY_MORE_S = 0.55
+LAST_ANSWERS_S = 0.08  # of what is left to SIGKILL, for the clients to read what is answered at the very last
 
 TOKEN = re.compile(rb"[!-~]{1,128}")
 BUDGET = re.compile(rb"(\d{1,12}(?:\.\d{1,6})?)([mu])")
@@ -215,8 +217,21 @@
             self._end_resting()
             if self._clients:
                 await self._change(until)
+        await self._give_up()
         self._sweeping.cancel()
 
+    async def _give_up(self) -> None:
+        """No time is left. Risk: who sends on a connection that stays open is taken on until the end, with a
+        deadline behind it, and would be lost with the process. Harm: what could still be served in the
+        moment that SIGKILL leaves is failed."""
+        until = time.monotonic() + LAST_ANSWERS_S
+        for client in [*self._clients]:
+            client.give_up()
+        while self._clients and time.monotonic() < until:
+            self._end_resting()
+            if self._clients:
+                await self._change(until)
+
     def hand_over(self) -> None:
         """Processes that go on share the queue: take nothing further from it. Risk: shortened or emptied by
         one that goes away, their queue refuses who comes to them."""
@@ -382,7 +397,7 @@
 
     __slots__ = (
         "__weakref__", "_abort", "_agent", "_answered", "_answered_last", "_asked", "_begun", "_blank",
-        "_body_since", "_deaf", "_linger", "_listener", "_moved", "_share", "_task", "_turns", "_until",
+        "_body_since", "_deaf", "_linger", "_listener", "_share", "_task", "_turns", "_until",
         "_upload", "_writer", "wire",
     )  # fmt: skip
 
@@ -391,7 +406,6 @@
         self._listener = listener
         self._agent = listener.agent
         self._turns: list[_Turn] = []  # PIPELINE_MOST at most
-        self._moved: asyncio.Future[None] | None = None  # waited for: a turn came, or went
         self._share: BodyShare | None = None  # of the request being read
         self._begun = False  # part of a request has come
         self._asked = False  # some request has begun here
@@ -461,6 +475,14 @@
         else:
             self.end()
 
+    def give_up(self) -> None:
+        """Answer at once whatever is owed: what was taken as failed, what has not come whole as refused."""
+        for turn in [*self._turns]:
+            if turn.held is not None:
+                self._agent.fail(turn.held)
+        if self.unfinished:
+            self.turn_away(503, "going away")
+
     def turn_away(self, status: int, text: str) -> None:
         """Answer a request that has not come whole, as the last; what still comes of it is read past."""
         self._deaf = True
@@ -800,14 +822,15 @@
 
     async def _discard(self) -> None:
         """Read on past the last request, so that the client's going is seen. Risk: a client may go on sending
-        for as long as it is read, at our core's cost."""
+        for as long as it is read, at our core's cost. Read no further, its end is behind what it has sent,
+        and what it asked before is sent on for nobody. So past DISCARD_MOST it is read slowly, and not once
+        it is owed nothing."""
         self.wire.shortcut = None  # Risk: a request that comes behind the last one would be taken
         left = DISCARD_MOST
         while left > 0 and (data := await self.wire.receive()):
             left -= len(data)
-        while left <= 0 and self._turns:
-            self._moved = asyncio.get_running_loop().create_future()
-            await self._moved
+        while left <= 0 and self._turns and await self.wire.receive():
+            await asyncio.sleep(DISCARD_PAUSE_S)
         raise _Gone
 
     # Answers
@@ -816,7 +839,6 @@
         if not self._turns:
             self._listener.owed(self)
         self._turns.append(turn)
-        self._move()
         if turn.held is not None:
             turn.held.told = self._pump
             self._listener.taken += 1
@@ -919,16 +941,11 @@
             turn.share.release()
         if turn.held is not None:
             self._listener.taken -= 1
-        self._move()
         if not self._turns:
             self._answered = time.monotonic()
             self._until = self._answered + (WHOLE_S if self._begun else IDLE_S)
             self._listener.rests(self)
 
-    def _move(self) -> None:
-        if self._moved is not None and not self._moved.done():
-            self._moved.set_result(None)
-
     def _word(self, turn: _Turn) -> tuple[bytes, bool, Stream | None]:
         """The next answer as it goes out, and whether the connection ends with it; of one that is passed on
         while it comes, the head, and what brings the rest."""
--- a/tests/net/test_closing.py
+++ b/tests/net/test_closing.py
@@ -19,7 +19,7 @@
 from sorrelfront.decisions.interface import Outcome
 from sorrelfront.fronts import http1 as listener
 from sorrelfront.lab.crowd import Peer
-from sorrelfront.lab.http1 import member
+from sorrelfront.lab.http1 import gate, member
 from sorrelfront.lists import parse_update
 from sorrelfront.messages import Answer, Call
 from sorrelfront.net.budget import Descriptors
@@ -27,7 +27,7 @@
 from sorrelfront.platform import __main__ as program
 from sorrelfront.platform import service
 from sorrelfront.upstreams.http1 import Upstream
-from tests.loopback import PATIENCE_S, Backend, World, answer, request, table, world
+from tests.loopback import PATIENCE_S, Backend, World, answer, looped, request, table, until, world
 
 TURNS = 31  # of the loop, from none to 30
 OK = answer(b"served")
@@ -204,6 +204,33 @@
     asyncio.run(play())
 
 
+@looped
+async def test_what_is_owed_when_no_time_is_left_is_answered_and_its_attempt_called_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A request that came late in a stop has a deadline behind the stop's end."""
+    go, script = gate(OK)
+    backend = await Backend(script).start()
+    async with world(backend) as made:
+        monkeypatch.setattr(listener, "GOING_AWAY_S", 0.0)
+        monkeypatch.setattr(listener, "GOING_AWAY_MORE_S", -made.agent.longest_deadline_us / 1e6)
+        monkeypatch.setattr(listener, "LAST_ANSWERS_S", PATIENCE_S)
+        owed, begun = await made.client(), await made.client()
+        owed.send(request("owed", "pay", b"x") + request("behind", "pay", b"x"))
+        begun.send(request("begun", "pay", b"x")[:-1])
+        await until(lambda: len(backend.seen) == 2 and any(one.unfinished for one in made.listener._clients))
+        closing = asyncio.create_task(made.listener.close())
+        assert [(await owed.answer())[0] for _ in range(2)] == [500, 500]
+        assert (await begun.answer())[0] == 503
+        for client in (owed, begun):
+            assert await client.ended()
+            client.close()
+        await closing
+        assert made.listener.connections == 0 and made.agent.owed == 0
+        await until(lambda: made.agent.attempts == 0)
+        go.set()
+
+
 def test_what_crosses_the_end_of_a_resting_connection_is_reset_and_not_read(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -13,9 +13,11 @@
 import pytest
 
 from sorrelfront.fronts import http1 as listener
-from tests.loopback import Backend, answer, connect, request, until, world
+from sorrelfront.lab.http1 import gate
+from tests.loopback import Backend, answer, connect, looped, request, until, world
 
 OK = answer(b"served")
+ERROR = answer(b"", "500 Internal Server Error")
 CHUNKED = "Transfer-Encoding: chunked\r\n"
 HIDDEN = b"0\r\n\r\n" + request("hidden", "pay")
 
@@ -128,6 +130,23 @@
     asyncio.run(play())
 
 
+@looped
+async def test_a_client_that_goes_behind_much_that_is_read_past_is_seen_to_go() -> None:
+    """It has asked, sent what cannot be served and a megabyte behind it, and closed: no more goes out."""
+    go, script = gate(ERROR)
+    backend = await Backend(script).start()
+    async with world(backend) as made:
+        client = await made.client()
+        client.send(request("asked"))
+        await until(lambda: len(backend.seen) == 1)
+        client.send(b"GET /unknown HTTP/1.1\r\nHost: a\r\n\r\n" + bytes(1_000_000))
+        client.close()
+        await until(lambda: made.agent.owed == 0)
+        go.set()
+        await until(lambda: made.agent.attempts == 0)
+        assert len(backend.seen) == 1
+
+
 def test_a_client_that_sends_without_end_does_not_have_the_agent_to_itself() -> None:
     """What is sent past the last request is read to a limit, and the loop is let go on meanwhile."""
 
