--- a/sorrelfront/decisions/listing.py
+++ b/sorrelfront/decisions/listing.py
@@ -31,6 +31,9 @@
 # The most that is drawn around: a service that comes back right behind a failed call is asked 1.5 s later at
 # the latest, and again so if it turns that call away, and 3 s are left of COUNTS_US for the answer.
 BACK_OFF_LONGEST_US = 1_000_000
+# The least that is drawn around, however short the settings' time of asking is. Risk: a service that is out
+# refuses at once, and calls without a pause burn the core that requests need.
+BACK_OFF_LEAST_US = 50_000
 BACK_OFF_DOUBLINGS = 8  # from BACK_OFF_FIRST far past BACK_OFF_MOST. Risk: a power that grows for hours
 
 
@@ -52,7 +55,8 @@
         second."""
         self.failures = min(self.failures + 1, BACK_OFF_DOUBLINGS)
         share = min(BACK_OFF_MOST, BACK_OFF_FIRST / 2 * 2**self.failures)
-        return int(min(share * within_us, BACK_OFF_LONGEST_US) * (0.5 + self._random()))
+        around_us = max(BACK_OFF_LEAST_US, min(share * within_us, BACK_OFF_LONGEST_US))
+        return int(around_us * (0.5 + self._random()))
 
     def heard(self) -> None:
         self.failures = 0
