A watch that was heard and ends is opened again at once: it may end instead of telling

Ruled out: reading late (head and list come in the same millisecond), the connection of the attempt (250 ms), the move of discovery (4 s, 13.4 to 15.4 s).

Cause: an end that was seen at once was the back-off's, 0.5 to 1.5 s. Now a call that was heard and lasted a second is made again within 0.03 to 0.09 s, and the back-off is drawn around 0.7 s at most (1 s).

--- a/sorrelfront/decisions/listing.py
+++ b/sorrelfront/decisions/listing.py
@@ -3,10 +3,10 @@
 Three ways bring a list: a watch, a call that is asked again and again, and a list that is pushed to this
 machine. One clock serves all three. A call that says nothing for SILENCE_US is broken, whatever its
 connection looks like; what it missed counts as told COUNTS_US after the silence began, and after a move to
-another address MOVED_US later. Until then the clock asks again soon, by itself; past that, and after ends
-that were seen at once, `BackOff` says when, and spares a service with too many callers. Whatever came before,
-a change counts as told COUNTS_US after the service had it and could be reached, so no wait is longer than
-leaves room for a call and its answer in that time.
+another address MOVED_US later. Until then the clock asks again soon, by itself. A call that was heard may
+end instead of telling, and is made again at once. Past that `BackOff` says when, and spares a service with
+too many callers. Whatever came before, a change counts as told COUNTS_US after the service had it and could
+be reached, so no wait is longer than leaves room for a call and its answer in that time.
 Times are integer microseconds on any clock that never goes back.
 """
 
@@ -24,13 +24,18 @@
 # The same for a list on this machine, which answers at no cost. Risk: while it is out each call fails at
 # once, and a shorter wait would burn the core that requests need.
 PUSHED_SOON_US = 200_000
+# After a call that was heard has ended: what it ended for may be a drain. The service works through calls
+# in turn, and who comes last waits for all the others: a third of a second each were seen.
+AT_ONCE_US = 60_000
+# Only one that has lasted so long. Risk: a service that answers and ends each call is called without a pause.
+LASTED_US = 1_000_000
 FIRST_SHARE = 0.5  # of the settings' time of asking, over which agents that start together are spread
 # And no longer than this: a third of COUNTS_US, since the list that a process starts with may be old.
 FIRST_MOST_US = 2_000_000
 BACK_OFF_FIRST, BACK_OFF_MOST = 0.25, 2.0  # shares of that time, drawn from half to one and a half
-# The most that is drawn around: a service that comes back right behind a failed call is asked 1.5 s later at
-# the latest, and again so if it turns that call away, and 3 s are left of COUNTS_US for the answer.
-BACK_OFF_LONGEST_US = 1_000_000
+# The most that is drawn around: a service that comes back right behind a failed call is asked 1.05 s later at
+# the latest, and again so if it turns that call away, and 3.9 s are left of COUNTS_US for the answer.
+BACK_OFF_LONGEST_US = 700_000
 # The least that is drawn around, however short the settings' time of asking is. Risk: a service that is out
 # refuses at once, and calls without a pause burn the core that requests need.
 BACK_OFF_LEAST_US = 50_000
@@ -51,8 +56,8 @@
 
     def failed(self, within_us: int) -> int:
         """The wait after a call that failed. Risk: hammering a slow service; hence it doubles. Harm: it stops
-        doubling at BACK_OFF_LONGEST_US, and a service that is slow for longer is asked by each agent once a
-        second."""
+        doubling at BACK_OFF_LONGEST_US, and a service that is slow for longer is asked by each agent that
+        often."""
         self.failures = min(self.failures + 1, BACK_OFF_DOUBLINGS)
         share = min(BACK_OFF_MOST, BACK_OFF_FIRST / 2 * 2**self.failures)
         around_us = max(BACK_OFF_LEAST_US, min(share * within_us, BACK_OFF_LONGEST_US))
@@ -65,9 +70,10 @@
 class Call:
     """One call to the service, from its start to its end."""
 
-    __slots__ = ("answered", "since")
+    __slots__ = ("answered", "opened", "since")
 
     def __init__(self, now: int) -> None:
+        self.opened = now
         self.since = now  # its start, or its last whole line
         self.answered = False  # it has said something of the list, if only that nothing changed
 
@@ -117,6 +123,8 @@
             self._counts(call.since + COUNTS_US)  # the silence began at its last line at the soonest
         if self.pushed:
             return self._drawn(PUSHED_SOON_US)
+        if call.answered and not silent and now - call.opened >= LASTED_US:
+            return self._drawn(AT_ONCE_US)
         if self.counts_at is None or now >= self.counts_at:
             self.counts_at = None
             return None
