An attempt asks the client's socket whether it has left, and so does a request that is taken

Need: no attempt begins over 0.1 s after its client left. Three ways led there, found by the review: the end waits in the kernel while a turn of the loop lasts; a request and the end behind it waited in the queue of connections while descriptors were out, and were taken together; a client is not read while its next long body waits for memory, so its end is not seen while what it asked before is tried again.

Change: Wire.hung_up looks at the socket without taking anything (one call). It is asked as a request is taken and by the predicate that every attempt asks on its way (Call.left). A long body behind requests that wait is refused where memory is short, and its client is read on. A half-close counts as a close: the protocol has clients close, and the two cannot be told apart before something is written.

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -419,6 +419,10 @@
         is up, its client has left, its server drains, or its servers have forgotten the attempt before it."""
         if held.id not in self._held or self.now() >= action.begin_before_us:
             return False
+        # Risk: on a core that others share a turn of the loop lasts, and its client's end waits in the kernel
+        # for as long.
+        if held.call.left is not None and held.call.left():
+            return False
         return self._directory.is_ready(action.backend)
 
     def _done(self, held: Held, key: tuple[int, int], started: int, ended: Ended) -> None:
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -596,7 +596,7 @@
         rest = data[end:]
         self._body_since = time.monotonic()
         while len(body) < min(head.length, BODY_MOST):
-            await share.room()
+            await self._room(share)
             came = await self._receive()
             missing = head.length - len(body)
             rest = came[missing:]
@@ -614,6 +614,14 @@
         self._uploaded()
         return head.last, rest
 
+    async def _room(self, share: BodyShare) -> None:
+        """Wait until more of a body may be read. Risk: while its client is not read its end is not seen, and
+        what it asked before is sent on for nobody. Harm: who sends long bodies behind requests that wait is
+        refused one where memory is short."""
+        if self._turns and share.must_wait():
+            raise BadRequest(503, "no room for a body behind requests that wait")
+        await share.room()
+
     def _progressed(self, received: int) -> None:
         """So much of a body has come. Risk: a client that sends a long body as fast as it can would be cut
         off, or one that sends a byte now and then would hold its place for ever."""
@@ -654,7 +662,7 @@
         head = request_head(data[: found.end()]) if found is not None else None
         if found is None or head is None or head.last or found.end() + head.length != len(data):
             return False
-        if head.length > BODY_MOST or _path(head) == READY:
+        if head.length > BODY_MOST or _path(head) == READY or self.wire.hung_up():
             return False
         try:
             call = parse_call(head, self._agent)
@@ -751,6 +759,11 @@
             text = "going away" if refusing else "ready"
             self._push_text(parser, 503 if refusing else 200, text, last)
         else:
+            if self.wire.hung_up():
+                # Risk: who has asked and left while it waited to be accepted, or for its turn, is sent for.
+                share.release()
+                raise _Gone
+            call.left = self.wire.hung_up
             if length != -1:
                 call.upload = self._upload = Upload(call.payload.body, length)
                 call.payload.body = bytearray()
@@ -804,7 +817,7 @@
                 if pieces % PIECES_IN_A_ROW == 0:
                     await asyncio.sleep(0)
             elif event is h11.NEED_DATA:
-                await share.room()
+                await self._room(share)
                 parser.receive_data(await self._receive())
             else:
                 raise _Gone
--- a/sorrelfront/messages.py
+++ b/sorrelfront/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple, Protocol
 
@@ -56,6 +57,8 @@
     is_retry: bool = False
     repeatable: bool = False  # a second execution does no harm, or is dropped
     upload: Upload | None = None  # the body, if it is too long to be held
+    # Whether the client has left by now, though nobody has been told yet. None: the front cannot tell.
+    left: Callable[[], bool] | None = None
 
 
 class Refused(NamedTuple):
--- a/sorrelfront/net/budget.py
+++ b/sorrelfront/net/budget.py
@@ -83,6 +83,10 @@
         if self.held >= SMALL_BODY:
             await self._budget.room(self)
 
+    def must_wait(self) -> bool:
+        """Whether `room` might."""
+        return self.held >= SMALL_BODY and self._budget.held + BODY_MOST >= self._budget.most
+
     def add(self, count: int) -> None:
         self.held += count
         self._budget.change(count)
--- a/sorrelfront/net/http.py
+++ b/sorrelfront/net/http.py
@@ -192,6 +192,17 @@
             return False
         return False
 
+    def hung_up(self) -> bool:
+        """Whether the peer has ended its sending, or broken off, with nothing unread ahead of that end."""
+        if self.closed or self._inbox is not None:
+            return self.closed or not self._inbox or isinstance(self._inbox, OSError)
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
     def shutdown(self, how: int) -> None:
         with contextlib.suppress(OSError):
             self.sock.shutdown(how)
--- a/tests/net/test_connecting.py
+++ b/tests/net/test_connecting.py
@@ -81,6 +81,43 @@
         assert made.upstream.open == 1  # the one that came up for nobody is closed
 
 
+@looped
+async def test_nothing_begins_for_a_client_whose_end_waits_in_the_kernel() -> None:
+    """Its end has come and nobody was told yet: the turn that would tell goes to the connection."""
+    backend = await Backend(OK).start()
+    async with world(backend, connectTimeoutUs=0) as made:
+        late = LateConnections(made)
+        client = await made.client()
+        client.send(request("a", "pay", b"x"))
+        await until(lambda: late.waiting == 1)
+        (connection,) = made.listener._clients
+        connection.wire._unwatch()  # the loop is not told of what comes from here on
+        client.close()
+        await until(connection.wire.hung_up)
+        late.go.set()
+        await until(lambda: made.agent.attempts == 0)
+        assert backend.seen == [] and made.upstream.open == 0
+        connection.cancel()
+        await until(lambda: made.listener.connections == 0)
+        assert made.agent.owed == 0
+
+
+@pytest.mark.parametrize("more", ["", "Connection: close\r\n"])
+@looped
+async def test_who_asked_and_left_before_it_was_accepted_is_not_sent_for(more: str) -> None:
+    """Descriptors were out, and its request and its end waited in the queue; taken at once, or by a task."""
+    backend = await Backend(OK).start()
+    async with world(backend) as made:
+        made.listener._pause()
+        client = await made.client()
+        client.send(request("a", "pay", b"x", more=more))
+        client.close()
+        await client.writer.wait_closed()
+        made.listener._resume()
+        await until(lambda: made.listener._accepted == 1 and made.listener.connections == 0)
+        assert made.agent.offered == 0 and backend.seen == []
+
+
 @looped
 async def test_nothing_begins_at_a_server_that_drains_by_the_time_its_connection_is_up() -> None:
     draining, other = await Backend(OK).start(), await Backend(OK).start()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -147,6 +147,26 @@
         assert len(backend.seen) == 1
 
 
+@pytest.mark.parametrize("more", ["", "Connection: close\r\n"])
+@looped
+async def test_a_client_that_goes_while_memory_is_short_for_its_next_body_is_seen_to_go(more: str) -> None:
+    """It is not read while it waits for room, and what it asked before would be sent on."""
+    go, script = gate(ERROR)
+    backend = await Backend(script).start()
+    async with world(backend) as made:
+        made.listener.bodies.most = 1
+        client = await made.client()
+        client.send(request("asked"))
+        await until(lambda: len(backend.seen) == 1)
+        client.send(request("next", "pay", bytes(60_000), more=more)[:10_000])
+        await until(lambda: made.listener.bodies.held > 4_096 or made.agent.owed == 0)
+        client.close()
+        await until(lambda: made.agent.owed == 0)
+        go.set()
+        await until(lambda: made.agent.attempts == 0)
+        assert len(backend.seen) == 1 and made.listener.bodies.held == 0
+
+
 def test_a_client_that_sends_without_end_does_not_have_the_agent_to_itself() -> None:
     """What is sent past the last request is read to a limit, and the loop is let go on meanwhile."""
 
