Tests of a crowd that fills the descriptors while discovery is out, and of a second SIGTERM

Both held before: descriptors for discovery, servers and the rest are set apart from the clients' (32 and two fifths of what is left), and a further SIGTERM or SIGHUP changes nothing of what the first owes. They had no test with the whole program.

--- a/tests/programs/test_lists.py
+++ b/tests/programs/test_lists.py
@@ -5,10 +5,25 @@
 
 import asyncio
 import json
+import signal
 from pathlib import Path
 from typing import Any
 
-from tests.loopback import Backend, Registry, answer, connect, looped, member, request, table
+from sorrelfront.lab.http1 import gate
+from sorrelfront.net.budget import Descriptors
+from sorrelfront.platform.config import LEAST_SOCKETS
+from tests.loopback import (
+    PATIENCE_S,
+    Backend,
+    Client,
+    Registry,
+    answer,
+    connect,
+    looped,
+    member,
+    request,
+    table,
+)
 from tests.test_process import Program
 
 OK = answer(b"served")
@@ -85,6 +100,79 @@
         stop(made, server, registry)
 
 
+@looped
+async def test_idle_clients_that_fill_the_descriptors_keep_it_neither_from_discovery_nor_from_servers(
+    tmp_path: Path,
+) -> None:
+    """Discovery is out while a crowd connects and says nothing. At its return a drain is heard, and who asks
+    is served at the server that is left."""
+    draining, left = await Backend(OK).start(), await Backend(OK).start()
+    registry = await Registry().start()
+    address = registry.address
+    registry.stop()
+    await registry.server.wait_closed()
+    config = table(address, [member("b0", draining.address)])
+    config["limits"]["sockets"] = LEAST_SOCKETS
+    made = Program(tmp_path, config)
+    await made.start()
+    crowd: list[Client] = []
+    try:
+        asker = await made.ready()
+        descriptors = Path(f"/proc/{made.process.pid}/fd")
+        at_rest = len([*descriptors.iterdir()])
+        while len([*descriptors.iterdir()]) < at_rest + Descriptors(LEAST_SOCKETS).clients - 1:
+            crowd.append(await connect(made.address))
+        registry.known = [member("b0", draining.address, "draining"), member("b1", left.address)]
+        registry.server = await asyncio.start_server(registry._serve, *_place(address))
+        await asyncio.wait_for(registry.asked.wait(), PATIENCE_S)
+        number = 0
+        while not left.seen:  # until the list has been read
+            number += 1
+            asker = await _asks(asker, made, f"r{number}")
+        draining.seen.clear()
+        for number in range(10):
+            asker = await _asks(asker, made, f"s{number}")
+        assert not draining.seen and len(left.seen) >= 10
+        assert await made.end() == 0
+    finally:
+        for client in crowd:
+            client.close()
+        stop(made, draining, left, registry)
+
+
+async def _asks(client: Client, made: Program, name: str) -> Client:
+    """A request gets its answer, on another connection if this one was closed for having rested."""
+    while True:
+        client.send(request(name))
+        try:
+            assert (await client.answer())[0] == 200
+        except (OSError, asyncio.IncompleteReadError):
+            client = await connect(made.address)
+            continue
+        return client
+
+
+@looped
+async def test_a_second_sigterm_changes_nothing_of_what_the_first_owes(tmp_path: Path) -> None:
+    go, script = gate(OK)
+    server, registry = await Backend(script).start(), await Registry().start()
+    made = await started(tmp_path, registry, [member("b0", server.address)], "subscribe")
+    try:
+        resting, client = await made.ready(), await made.ready()
+        client.send(request("held", "pay", b"x"))
+        await asyncio.wait_for(server.arrived.wait(), PATIENCE_S)
+        made.process.send_signal(signal.SIGTERM)
+        assert await resting.ended()  # it has heard the first
+        made.process.send_signal(signal.SIGTERM)
+        made.process.send_signal(signal.SIGHUP)
+        await made.logged(b"a new configuration is in force")  # and what came behind the second
+        go.set()
+        assert (await client.answer())[0] == 200
+        assert await made.end() == 0 and len(server.seen) == 1
+    finally:
+        stop(made, server, registry)
+
+
 def _place(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
