--- a/tests/programs/test_lists.py
+++ b/tests/programs/test_lists.py
@@ -173,6 +173,29 @@
         stop(made, server, registry)
 
 
+@looped
+async def test_a_process_that_is_killed_owes_nothing_and_the_next_one_takes_its_place(tmp_path: Path) -> None:
+    """What it held is the client's to repeat, and who asks again at the same address is served."""
+    go, script = gate(OK)
+    server, registry = await Backend(script).start(), await Registry().start()
+    made = await started(tmp_path, registry, [member("b0", server.address)], "subscribe")
+    try:
+        client = await made.ready()
+        client.send(request("held"))
+        await asyncio.wait_for(server.arrived.wait(), PATIENCE_S)
+        made.process.kill()
+        assert await client.ended()
+        await made.process.wait()
+        go.set()
+        await made.start()
+        again = await made.ready()
+        again.send(request("held"))
+        assert (await again.answer())[0] == 200 and len(server.seen) == 2
+        assert await made.end() == 0
+    finally:
+        stop(made, server, registry)
+
+
 def _place(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from sorrelfront.decisions.interface import Action
 from sorrelfront.fronts import http1 as listener
 from sorrelfront.lab.http1 import gate
 from tests.loopback import Backend, answer, connect, looped, request, until, world
@@ -167,6 +168,32 @@
         assert len(backend.seen) == 1 and made.listener.bodies.held == 0
 
 
+@pytest.mark.parametrize("handler", ["on_request", "on_attempt_ended"])
+@pytest.mark.parametrize("how", ["raises", "says nothing"])
+@looped
+async def test_a_decision_that_goes_wrong_costs_its_own_request_an_answer_and_nobody_else_theirs(
+    handler: str, how: str
+) -> None:
+    backend = await Backend(ERROR).start()
+    async with world(backend) as made:
+
+        def wrong(event: object, now: int) -> list[Action]:
+            if how == "raises":
+                raise ZeroDivisionError
+            return []
+
+        usual = getattr(made.agent.balancer, handler)
+        setattr(made.agent.balancer, handler, wrong)
+        client = await made.client()
+        client.send(request("a", "pay", b"x", budget="200m"))
+        assert (await client.answer())[0] == 500
+        setattr(made.agent.balancer, handler, usual)
+        backend.script = OK
+        assert made.agent.owed == 0
+        client.send(request("a", "pay", b"x"))
+        assert (await client.answer())[0] == 200
+
+
 def test_a_client_that_sends_without_end_does_not_have_the_agent_to_itself() -> None:
     """What is sent past the last request is read to a limit, and the loop is let go on meanwhile."""
 
