--- a/test.sh
+++ b/test.sh
@@ -10,4 +10,4 @@
 fi
 .venv/bin/ruff check .
 .venv/bin/mypy
-.venv/bin/python -m pytest -q -p no:cacheprovider -n 5 --dist worksteal
+.venv/bin/python -m pytest -q -p no:cacheprovider -n 4 --dist worksteal
