A replacement waits for the lock of the program that was killed while it handed over

The kernel closes a killed program's descriptors one by one, so the connection ends before the lock is free. Ruled out: another supervisor, since there is none in the test; a descriptor inherited by an instance, since it is close-on-exec.

One mechanism now for all three places that take the lock after another program: it is tried for 5 s where this program replaces another, once where it starts by itself.

Two cases force the crossing, with the old program played by the test, which holds the lock until the new one has told that it waits for it; both failed without the mend.

--- a/sorrelfront/daemon/supervisor.py
+++ b/sorrelfront/daemon/supervisor.py
@@ -34,7 +34,7 @@
 log = logging.getLogger("sorrelfront.daemon")
 
 ABORT_WITHIN_S = 2.0  # for owed requests to be answered as failed, when there is no time left
-LOCK_WITHIN_S = 5.0  # for a program that hands over to let go of the lock
+LOCK_WITHIN_S = 5.0  # for a program that hands over, or was killed doing so, to let go of the lock
 MEMBERS_WITHIN_S = 2.0  # for an instance to tell what it knows of the fleet
 POLICY_WITHIN_S = 5.0  # for an instance to have asked the voters
 MEMBERS_KEYS = ("fleet", "self", "agreeing", "events", "members")
@@ -139,7 +139,7 @@
     async def _take_charge(self, given: Passed) -> None:
         """Be the one that looks after the fleet, and adopt what runs already. Raises CannotStart."""
         try:
-            if not self._folder.lock():
+            if not await self._lock(LOCK_WITHIN_S if self._replaces else 0.0):
                 raise CannotStart(f"[daemon] control: another daemon runs by this file ({self._folder.path})")
         except NoFolder as fault:
             raise CannotStart(f"[daemon] control: {fault}") from None
@@ -152,6 +152,23 @@
         self._memory = kept
         await self._adopt(journal)
 
+    async def _lock(self, within_s: float) -> bool:
+        """Whether this is the program that looks after the fleet, within this time. Raises NoFolder.
+
+        Risk: the kernel closes what a killed program had one by one, so its connections are seen to end
+        before its lock is free. Harm: its heir takes that for another program, gives up, and nobody looks
+        after the fleet."""
+        until = time.monotonic() + within_s
+        told = False
+        while not self._folder.lock():
+            if time.monotonic() >= until:
+                return False
+            if not told:
+                log.info("waiting for the program before to let go of the lock, for %g s", within_s)
+                told = True
+            await asyncio.sleep(0.01)
+        return True
+
     async def _adopt(self, journal: Journal | None) -> None:
         if journal is not None:
             self.fleet.generation = max(self.fleet.generation, journal.generation)
@@ -241,7 +258,7 @@
                 why = "not all instances became ready in time"
             await asyncio.sleep(0.01)
             why = why or heir.gone()
-            if heir.bereft and not self._folder.lock():
+            if heir.bereft and not await self._lock(LOCK_WITHIN_S):
                 why = "the running program is gone, and another has taken its place"
         if why is not None:
             self.failure = why
@@ -261,9 +278,7 @@
 
     async def _settle_in(self) -> None:
         """In charge after a replacement: lock, control socket, journal, and what else runs."""
-        until = time.monotonic() + LOCK_WITHIN_S
-        while not self._folder.lock() and time.monotonic() < until:
-            await asyncio.sleep(0.01)
+        await self._lock(LOCK_WITHIN_S)
         try:
             await self._start_control()
         except CannotStart as fault:
--- a/tests/daemon/test_adoption.py
+++ b/tests/daemon/test_adoption.py
@@ -12,13 +12,15 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from sorrelfront.daemon import control
 from sorrelfront.daemon.channel import bind_private, prepare
-from sorrelfront.daemon.journal import Entry, Journal, encode
+from sorrelfront.daemon.journal import Entry, Journal, RunFolder, encode
 from sorrelfront.daemon.processes import boot_id, start_ticks
+from sorrelfront.daemon.takeover import Bequest
 from sorrelfront.lab.crowd import LOST, Crowd, ran_twice
 from sorrelfront.lab.http1 import PATIENCE_S, Backend, connect, gate, member, request
 from sorrelfront.lab.shop import Book, Server
@@ -221,6 +223,40 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("when", ["before it gives", "while the new one starts"])
+def test_the_lock_of_a_killed_program_is_waited_for(tmp_path: Path, when: str) -> None:
+    """The kernel closes what a killed program had one by one: its connection is seen to end, and the lock is
+    free only later. The program is played here, so that both moments are known."""
+
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with fleet(tmp_path, backend) as made:
+            made.signal(signal.SIGTERM)
+            assert await made.ended() == 0
+            folder, given = RunFolder(tmp_path / "c.sock.d"), list[Bequest]()
+
+            async def hand_over(message: dict[str, Any]) -> dict[str, Any]:
+                given.append(Bequest(message["to"]))
+                if when == "while the new one starts":
+                    assert given[0].give({made.address: listening}, {})
+                return {"ok": True}
+
+            assert folder.lock()
+            played = control.Control(tmp_path / "c.sock", hand_over)
+            await played.start()
+            with socket.create_server(made.address) as listening:
+                made.process = await replacement(made)
+                await until(lambda: bool(given) and (when == "before it gives" or bool(made.orphans())))
+                given[0].close()
+                await until(lambda: "to let go of the lock" in made.log.read_text())
+            await played.close()
+            folder.unlock()
+            await answers_as(made, made.process.pid)
+            await made.ready()
+
+    asyncio.run(play())
+
+
 def test_killed_while_it_starts_what_it_began_is_taken_up(tmp_path: Path) -> None:
     async def play() -> None:
         backend, told = await Backend(OK).start(), await Backend(OK).start()
