--- a/sorrelfront/lab/storm/scenario.py
+++ b/sorrelfront/lab/storm/scenario.py
@@ -168,6 +168,9 @@
     to: Annotated[list[str], Meta(max_length=96)] = msgspec.field(default_factory=list)
     size: float = 0.0
     part: Annotated[int, Meta(ge=0, le=255)] = 0  # which instance
+    # Of a cut between hosts: over no sooner than each side sees exactly itself, however long that takes on a
+    # busy machine (`settle_s` at most).
+    given_up: bool = False
 
 
 Range = Annotated[list[float], Meta(min_length=2, max_length=2)]
@@ -191,6 +194,7 @@
     to: tuple[str, ...] = ()
     size: float = 0.0
     part: int = 0
+    given_up: bool = False
 
     @property
     def until(self) -> float:
@@ -369,6 +373,8 @@
         checker.fault(name, "part", f"there are {made.storm['instances']} instances")
     if kind.size is not None and not values["size"] and what != "terms":
         checker.fault(name, "size", f"is missing: {what!r} has one, such as {kind.size[1]:g}")
+    if values["given_up"] and not (what == "cut" and values["lasts"] and made.storm["fleet"]):
+        checker.fault(name, "given_up", "needs a cut that lasts, and [storm] fleet")
     if what in ("terms", "deaf") and not made.storm["sites"]:
         checker.fault(name, "what", f"{what!r} needs [storm] sites")
     if what in ("propose", "abandon") and not made.storm["voters"]:
@@ -377,7 +383,9 @@
         checker.fault(name, "what", f"{what!r} needs daemons: [storm] platform is set")
     if len(checker.faults) > before:
         return None
-    return Planned(what, values["at"], values["lasts"], hosts, to, values["size"], values["part"])
+    return Planned(
+        what, values["at"], values["lasts"], hosts, to, values["size"], values["part"], values["given_up"]
+    )
 
 
 def _names(
--- a/tests/storm/test_scenario.py
+++ b/tests/storm/test_scenario.py
@@ -69,6 +69,13 @@
 what = "kill-instance"
 at = 2
 part = 5
+[[faults]]
+what = "delay"
+at = 1
+lasts = 1
+to = ["s1"]
+size = 1
+given_up = true
 """
         )
     )
@@ -81,6 +88,7 @@
         "[faults.6] size: is missing",
         "[faults.7] at: must be 0",
         "[faults.8] part: there are 2 instances",
+        "[faults.9] given_up: needs a cut that lasts, and [storm] fleet",
     ):
         assert wanted in more, wanted
 
