A program told to stop while it hands over leaves no heir behind; six test processes

test_a_stop_in_the_middle_of_a_replacement_ends_both[stopped] failed once: the running program was told to stop in the moment between the request for a take-over and its first packet. It says that the take-over is off, and the new program passed over the word at that stage, saw the connection's end, took it for a kill and started in its place. Now the word counts at every stage: exit 2, one line. The new test plays the running program, so that the moment is certain; it failed without the mend.

--- a/sorrelfront/daemon/takeover.py
+++ b/sorrelfront/daemon/takeover.py
@@ -81,7 +81,7 @@
                     self._sock, _ = await asyncio.get_running_loop().sock_accept(inbox)
                 prepare(self._sock)
                 await self._read(estate)
-            except Bereft:
+            except NoTakeover:
                 estate.close()
                 self.close()
                 raise
@@ -107,6 +107,10 @@
                     estate.learnt[name] = text
                 case {"op": "end"}:
                     return
+                case {"op": "off", "why": str(why)}:
+                    # Risk: told to stop while it hands over, its end is taken for a kill. Harm: this program
+                    # starts in the place of one that an operator has stopped.
+                    raise NoTakeover(why)
         raise BadMessage("the running program sends without end")
 
     async def ready(self) -> bool:
--- a/test.sh
+++ b/test.sh
@@ -8,6 +8,10 @@
     .venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
     touch "$stamp"
 fi
+# Where the caller's shell forbids bytecode, each of the thousands of processes that the tests start would
+# compile the whole program again: it is kept beside the tools.
+unset PYTHONDONTWRITEBYTECODE
+export PYTHONPYCACHEPREFIX=$PWD/.venv/pycache
 .venv/bin/ruff check .
 .venv/bin/mypy
-.venv/bin/python -m pytest -q -p no:cacheprovider -n 4 --dist worksteal
+.venv/bin/python -m pytest -q -p no:cacheprovider -n 6 --dist worksteal
--- a/tests/daemon/test_adoption.py
+++ b/tests/daemon/test_adoption.py
@@ -17,7 +17,7 @@
 import pytest
 
 from sorrelfront.daemon import control
-from sorrelfront.daemon.channel import bind_private, prepare
+from sorrelfront.daemon.channel import bind_private, prepare, send
 from sorrelfront.daemon.journal import Entry, Journal, RunFolder, encode
 from sorrelfront.daemon.processes import boot_id, start_ticks
 from sorrelfront.daemon.takeover import Bequest
@@ -257,6 +257,31 @@
     asyncio.run(play())
 
 
+def test_told_to_stop_while_it_hands_over_nobody_starts_in_its_place(tmp_path: Path) -> None:
+    """The running program is played here: it is told to stop before it has sent anything."""
+
+    async def play() -> None:
+        backend = await Backend(OK).start()
+        async with fleet(tmp_path, backend) as made:
+            made.signal(signal.SIGTERM)
+            assert await made.ended() == 0
+
+            async def hand_over(message: dict[str, Any]) -> dict[str, Any]:
+                bequest = Bequest(message["to"])
+                assert send(bequest.sock, {"op": "off", "why": "the running program was told to stop"})
+                bequest.close()
+                return {"ok": True}
+
+            played = control.Control(tmp_path / "c.sock", hand_over)
+            await played.start()
+            new = await replacement(made)
+            assert await asyncio.wait_for(new.wait(), PATIENCE_S) == 2
+            await played.close()
+        assert "was told to stop" in made.log.read_text() and not made.orphans()
+
+    asyncio.run(play())
+
+
 def test_killed_while_it_starts_what_it_began_is_taken_up(tmp_path: Path) -> None:
     async def play() -> None:
         backend, told = await Backend(OK).start(), await Backend(OK).start()
