--- a/sorrelfront/decisions/balancer.py
+++ b/sorrelfront/decisions/balancer.py
@@ -287,10 +287,6 @@
         self.started = now
         self.usual: dict[str, Usual] = {}
         self.hints: dict[str, Usual] = {}
-        aims = [cls.aim_us for cls in settings.classes]
-        self.decay_us = DECAY_AIMS * sum(aims) / len(aims)
-        self.recent_us = RECENT_AIMS * sum(aims) / len(aims)
-        self.probe_us = min(PROBE_MOST_US, sum(aims) / len(aims))
         self.sent_at = now  # the last attempt
         self._adopt_classes(settings)
         self.common_us = 0.0  # the usual latency of a request of any class
@@ -311,6 +307,9 @@
         """Before its first answer a class is taken to need a third of its aim; that answer replaces the
         guess."""
         self.classes = {cls.name: cls for cls in settings.classes}
+        mean_us = sum(cls.aim_us for cls in settings.classes) / len(settings.classes)
+        self.decay_us, self.recent_us = DECAY_AIMS * mean_us, RECENT_AIMS * mean_us
+        self.probe_us = min(PROBE_MOST_US, mean_us)
         for cls in settings.classes:
             self.usual.setdefault(cls.name, Usual(cls.aim_us / 3))
             self.hints.setdefault(cls.name, Usual(0.0))
@@ -325,6 +324,11 @@
         terms that they came under."""
         self.settings = settings
         self._adopt_classes(settings)
+        # Risk: by aims that are ten times as short, what was learnt fades ten times too slowly for them.
+        for recent in (self.late, *self.kinds.values()):
+            recent.decay_us = self.recent_us
+        for server in self.servers.values():
+            server.decay_us = self.decay_us
         self._choose_slice(now)
         return []
 
--- a/tests/test_estimate.py
+++ b/tests/test_estimate.py
@@ -1,12 +1,13 @@
 """The estimate's arithmetic, against values worked by hand."""
 
+from dataclasses import replace
 from math import exp
 
 import pytest
 
 from sorrelfront.decisions.balancer import LET_THROUGH, PENALTY, Kind, Recent, Server, Usual
 from sorrelfront.decisions.interface import Backend, Outcome
-from tests.helpers import SAFE, balancer, ended, request, sends
+from tests.helpers import CLASSES, SAFE, balancer, ended, request, sends, settings
 
 
 def server(decay_us: float = 1_000_000.0) -> Server:
@@ -157,3 +158,20 @@
     assert sends(request(made, 3, SAFE, 530_000)) == ["b000"]
     # From then on it answers nothing more: that shows.
     assert one.forecast(1_530_000) > 10.0
+
+
+def test_what_was_learnt_fades_by_the_aims_in_force() -> None:
+    """Also of a server that was known before the aims changed: as by a process that began with them."""
+    longer = tuple(replace(cls, aim_us=cls.aim_us * 8, deadline_us=cls.deadline_us * 8) for cls in CLASSES)
+    began, changed = balancer(1, classes=longer), balancer(1)
+    changed.on_settings(settings(classes=longer), 0)
+    for made in (began, changed):
+        for number in range(12):  # so many that the guesses made of other aims are forgotten
+            request(made, number, longer[0], 0, 8_000_000)
+            ended(made, number, 0, Outcome.OK, 1_000, elapsed_us=300_000 if number < 11 else 3_000_000)
+    loads = [made.servers["b000"].load(2_000_000) for made in (began, changed)]
+    lates = [made.late.read(2_000_000) for made in (began, changed)]
+    kinds = [next(iter(made.kinds.values())).read(2_000_000) for made in (began, changed)]
+    for before, after in (loads, lates, kinds):
+        assert after == pytest.approx(before)
+    assert began.probe_us == changed.probe_us
