Storms judge what counts as told after 6 s and attempts for callers that have left

Played in the daemon and in the platform's program: the list out while two servers begin to drain, two more that hang and whose connections are reset while their callers leave.

--- a/sorrelfront/lab/crowd.py
+++ b/sorrelfront/lab/crowd.py
@@ -11,6 +11,7 @@
 
 RESET = b"reset"
 LOST = b"lost"
+LEFT = b"left"  # the client closed its connection without waiting for the answer
 CLASSES = ("look", "pay", "book")
 
 
@@ -24,6 +25,7 @@
         self._read = bytearray()
         self.head = b""  # of the latest answer
         self.told_to_close = False
+        self.left = False
         self.port = int(self.sock.getsockname()[1])
 
     def send(self, data: bytes) -> None:
@@ -64,6 +66,11 @@
             await asyncio.sleep(0.005)
         return False
 
+    def leave(self) -> None:
+        """Close without waiting for what is owed."""
+        self.left = True
+        self.close()
+
     def close(self) -> None:
         self.sock.close()
 
@@ -105,6 +112,10 @@
     def heard(self, name: str, cls: str, got: bytes, seconds: float) -> None:
         """Called with each request's status line, or RESET or LOST, and how long it took."""
 
+    async def await_answer(self, peer: Peer, name: str) -> bytes:
+        """The status line, RESET, LOST, or LEFT by a client that has closed its connection by then."""
+        return await peer.answer()
+
     async def _ask(self, number: int) -> None:
         peer: Peer | None = None
         asked = 0
@@ -127,7 +138,7 @@
                     self.longest_wait_s = max(self.longest_wait_s, time.monotonic() - wants_at)
                     wants_at = None
                 if not goes_on:
-                    if not peer.told_to_close and cut_at is None:
+                    if not peer.told_to_close and not peer.left and cut_at is None:
                         cut_at = time.monotonic()
                     peer.close()
                     peer = None
@@ -150,7 +161,7 @@
             self.book[b"unsent"] += 1
             return False
         self.asks(name, cls)
-        got = await peer.answer()
+        got = await self.await_answer(peer, name)
         self.head = peer.head
         self.heard(name, cls, got, time.monotonic() - began)
         self.book[got] += 1
--- a/sorrelfront/lab/storm/checkers.py
+++ b/sorrelfront/lab/storm/checkers.py
@@ -17,9 +17,14 @@
 DRAIN_S = 0.5
 SLACK_S = 0.05  # sockets' own, as the rules give it
 LATE_S = 0.5  # after its time an answer earns nothing; later still it is lost
+REACHED_S = 6.0  # a change that the list has counts as told so long after the list can be reached
+GONE_S = 0.1  # after its client left no attempt begins later than this
+GONE_MOST = 2  # breaks of that which are put down to chance, of all agents together
 NEAR_S = 1.0  # the rig's own lateness is looked for so far before an event
 KILLED = frozenset({"kill", "power", "late", "move"})
 STOPPED = KILLED | {"freeze"}
+AWAY = frozenset({"list-down", "island", "cut", "one-way", "refuse"})  # what can put the list out of reach
+EVERYWHERE = ""  # in place of a host
 # What records say of one that is not whole. One that is whole and too old says something else.
 TORN = (
     "its checksum is wrong",
@@ -132,7 +137,7 @@
     excused = STOPPED | {"starve"}
     found = []
     for event in events:
-        if event["kind"] == "answer" and event["status"] not in ("lost", "reset"):
+        if event["kind"] == "answer" and event["status"] not in ("lost", "reset", "left"):
             took = event["ms"] / 1e3
             over = took - limit - LATE_S - spans.lag(event["t"])
             if over > 0 and not spans.disturbed(event["host"], asks[event["call"]]["t"], event["t"], excused):
@@ -199,6 +204,62 @@
     return found
 
 
+def told(events: list[Event]) -> list[Breach]:
+    """A change counts as told 6 s after the list had it and could be reached, whatever failed before: nothing
+    new to a draining server 500 ms later. A host cannot reach the list while a link to it is cut or refused,
+    or the list is out. Excused: a host that was killed, frozen or starved meanwhile, which reads its list
+    anew."""
+    spans = Spans(events)
+    excused = STOPPED | {"starve", "restart"}
+    cut: dict[int, Event] = {}
+    free: dict[str, float] = {}  # since when a host can reach the list; infinite while it cannot
+    drained: dict[str, float] = {}
+    found = []
+    for event in events:
+        if event["kind"] == "fault":
+            number, what = event["number"], event["what"]
+            if event["phase"] == "begin":
+                if what == "server-drain":
+                    drained |= {server: event["t"] for server in event["to"]}
+                if what in AWAY and (what in ("list-down", "island") or "list" in event.get("to", ())):
+                    cut[number] = event
+            elif number in cut:
+                over = cut.pop(number)
+                if over["what"] == "list-down":
+                    free[EVERYWHERE] = event["t"]
+                free |= {host: event["t"] for host in over["hosts"]}
+        elif event["kind"] == "arrive" and event["host"] and event["server"] in drained:
+            host = event["host"]
+            if any(item["what"] == "list-down" or host in item["hosts"] for item in cut.values()):
+                continue
+            since = max(drained[event["server"]], free.get(host, 0.0), free.get(EVERYWHERE, 0.0))
+            over_s = event["sent"] - since - REACHED_S - DRAIN_S - SLACK_S - spans.lag(event["t"])
+            if over_s > 0 and not spans.disturbed(host, since, event["sent"], excused):
+                late = f"{event['sent'] - since:.3f} s after the list had it and could be reached"
+                what = f"{host} sent {event['call']} to {event['server']}, which drains, {late}"
+                found.append(Breach("told", event["t"], what))
+    return found
+
+
+def gone(events: list[Event]) -> list[Breach]:
+    """No attempt begins more than 0.1 s after its client left, but for two. Excused: a host that was frozen
+    or starved in between; sockets have 50 ms, and the rig's lateness is added."""
+    spans = Spans(events)
+    left: dict[str, float] = {}
+    found = []
+    for event in events:
+        if event["kind"] == "left":
+            left[event["call"]] = event["t"]
+        elif event["kind"] == "arrive" and event["call"] in left:
+            after = event["sent"] - left[event["call"]]
+            over = after - GONE_S - SLACK_S - spans.lag(event["t"])
+            excused = frozenset({"freeze", "starve"})
+            if over > 0 and not spans.disturbed(event["host"], left[event["call"]], event["sent"], excused):
+                what = f"{event['host']} sent {event['call']} {after:.3f} s after its client had left"
+                found.append(Breach("gone", event["t"], what))
+    return found if len(found) > GONE_MOST else []
+
+
 def cold(events: list[Event]) -> list[Breach]:
     """Rule 4, over all agents together: in no window more than `multiple` x what a server as cold as this can
     do."""
@@ -409,6 +470,8 @@
     "once": once,
     "refusals": refusals,
     "drains": drains,
+    "told": told,
+    "gone": gone,
     "cold": cold,
     "settled": settled,
     "exits": exits,
--- a/sorrelfront/lab/storm/history.py
+++ b/sorrelfront/lab/storm/history.py
@@ -15,7 +15,8 @@
     effect     server, key, call             it had its effect there
     cold       server, capacity, ...         a server was started, with what it can do
     ask        host, call, class             a caller asked
-    answer     host, call, status, ms        what became of it: a status, "reset" or "lost"
+    left       host, call                    its caller has closed the connection, with no answer yet
+    answer     host, call, status, ms        what became of it: a status, "reset", "lost", or "left"
     said       host, line                    a line of the daemon's log
     disk       host, ...                     what a power cut left of a disk
     view       host, member, living          an instance sees these members alive, from here on
--- a/sorrelfront/lab/storm/launch.py
+++ b/sorrelfront/lab/storm/launch.py
@@ -26,8 +26,10 @@
 CLOCK_LAYOUT = struct.Struct("dqqq")
 PLANTS = (
     "repeats-unsafe", "forgets-drains", "skips-sync", "ignores-leases", "trusts-old-copies",
-    "believes-widened", "wall-lifetimes",
+    "believes-widened", "wall-lifetimes", "asks-late", "sends-for-gone",
 )  # fmt: skip
+ASKS_LATE_US = 12_000_000  # of a planted defect: twice what a change may take to count as told
+GONE_FOR_S = 2.0
 HOSTILE = "hostile-partner"  # no defect of the program's: what a partner's program may do
 
 
@@ -163,6 +165,28 @@
 
         for module in (border, carrier, requests):
             module.now_us = now_us  # type: ignore[attr-defined]
+    elif name == "asks-late":
+        from sorrelfront.decisions.listing import BackOff
+
+        def failed(self: Any, within_us: int) -> int:
+            """Backs off from the list service for as long as some do, whatever counts as told."""
+            return ASKS_LATE_US
+
+        BackOff.failed = failed  # type: ignore[method-assign]
+    elif name == "sends-for-gone":
+        import asyncio
+
+        from sorrelfront.agent import Agent
+        from sorrelfront.net.http import Wire
+
+        abandon = Agent.abandon
+
+        def late(self: Any, held: Any) -> None:
+            """Goes on for a client that has left until its answer would have been of use."""
+            asyncio.get_running_loop().call_later(GONE_FOR_S, abandon, self, held)
+
+        Agent.abandon = late  # type: ignore[method-assign]
+        Wire.hung_up = lambda self: False  # type: ignore[method-assign]
     elif name == HOSTILE:
         from random import Random
 
--- a/sorrelfront/lab/storm/report.py
+++ b/sorrelfront/lab/storm/report.py
@@ -216,7 +216,7 @@
     groups: dict[str, list[float]] = defaultdict(list)
     latencies: dict[int, list[float]] = defaultdict(list)
     for event in events:
-        if event["kind"] != "answer":
+        if event["kind"] != "answer" or event["status"] == "left":
             continue
         status = event["status"]
         name = "served" if status == "200" else "refused" if status in ("429", "503") else "failed or lost"
--- a/sorrelfront/lab/storm/run.py
+++ b/sorrelfront/lab/storm/run.py
@@ -26,6 +26,7 @@
 HELD, BROKEN, VOID = 0, 1, 3  # exit codes; 2 is a wrong call
 FILE = "storm.toml"
 VERDICT = "verdict.json"
+NO_STATUS = ("lost", "reset", "left")  # what an answer says that is none
 SHOWN_MOST = 20  # breaches of one rule that a verdict names
 SCENARIOS = Path(__file__).parent / "scenarios"
 
@@ -131,8 +132,8 @@
     settled = next((event["waited"] for event in events if event["kind"] == "settled"), None)
     return {
         "asked": sum(event["kind"] == "ask" for event in events), "served": status["200"], "refused": refused,
-        "failed": len(answers) - status["200"] - refused - status["lost"] - status["reset"],
-        "lost": status["lost"], "reset": status["reset"],
+        "failed": len(answers) - status["200"] - refused - sum(status[word] for word in NO_STATUS),
+        "lost": status["lost"], "reset": status["reset"], "left": status["left"],
         "p50_ms": round(float(np.percentile(ms, 50)), 2), "p99_ms": round(float(np.percentile(ms, 99)), 2),
         "arrivals": len(arrivals), "arrivals_100ms": _densest(arrivals, 0.1),
         "watches": len(watches), "watches_1s": _densest(watches, 1.0),
--- a/sorrelfront/lab/storm/scenario.py
+++ b/sorrelfront/lab/storm/scenario.py
@@ -133,7 +133,7 @@
     isolation: Literal["go-on", "refuse"] = "refuse"  # of all classes, in a storm with voters
     plant: Literal[
         "", "repeats-unsafe", "forgets-drains", "skips-sync", "ignores-leases", "trusts-old-copies",
-        "believes-widened", "wall-lifetimes",
+        "believes-widened", "wall-lifetimes", "asks-late", "sends-for-gone",
     ] = ""
 
 
@@ -143,6 +143,9 @@
     service_ms: Annotated[float, Meta(ge=0.1, le=10_000)] = 8.0
     slots: Annotated[int, Meta(ge=1, le=1_000)] = 8
     deadline_ms: Annotated[float, Meta(ge=50, le=60_000)] = 2_500.0
+    leave: Annotated[float, Meta(ge=0, le=1)] = 0.0  # share of the requests whose caller may leave
+    # How long such a caller waits at most before it closes its connection, drawn evenly.
+    leave_ms: Annotated[float, Meta(ge=1, le=60_000)] = 300.0
 
 
 class Expect(Table, kw_only=True):
--- a/sorrelfront/lab/storm/stage.py
+++ b/sorrelfront/lab/storm/stage.py
@@ -30,7 +30,7 @@
 from sorrelfront.decisions.fleet.view import bound_us as view_bound_us
 from sorrelfront.errors import SorrelfrontError
 from sorrelfront.fleet.copier import settings
-from sorrelfront.lab.crowd import Crowd
+from sorrelfront.lab.crowd import LEFT, Crowd, Peer
 from sorrelfront.lab.fleet.copies import bound_us
 from sorrelfront.lab.http1 import Registry, member, table
 from sorrelfront.lab.shop import Book, Mode, Server
@@ -219,12 +219,26 @@
     def __init__(self, host: Host) -> None:
         self._host = host.name
         self._history = host.stage.history
-        load = host.stage.scenario.load
+        load = self._load = host.stage.scenario.load
+        self._rng = np.random.default_rng([host.stage.seed, 2, host.number])
         super().__init__(host.address, load["clients"], load["pause_ms"] / 1e3, name=f"{host.name}-c")
 
     def asks(self, name: str, cls: str) -> None:
         self._history.add("ask", host=self._host, call=name, **{"class": cls})
 
+    async def await_answer(self, peer: Peer, name: str) -> bytes:
+        """Of those who may leave, whoever has no answer in a time that is drawn for it leaves."""
+        leaves, share = self._rng.random(2)
+        if leaves >= self._load["leave"]:
+            return await super().await_answer(peer, name)
+        try:
+            async with asyncio.timeout(share * self._load["leave_ms"] / 1e3):
+                return await super().await_answer(peer, name)
+        except TimeoutError:
+            peer.leave()
+            self._history.add("left", host=self._host, call=name)
+            return LEFT
+
     def heard(self, name: str, cls: str, got: bytes, seconds: float) -> None:
         status = got.split(b" ")[1].decode() if got.startswith(b"HTTP/1.1 ") else got.decode()
         told: dict[str, Any] = {"class": cls}
--- a/tests/storm/test_checkers.py
+++ b/tests/storm/test_checkers.py
@@ -92,6 +92,42 @@
     assert broken(history(drains, sent(1.9), fault(1.1, "freeze"), fault(1.8, "freeze", "over"))) == set()
 
 
+def test_a_drain_that_a_host_has_not_heard_of_though_it_could() -> None:
+    drain = {"what": "server-drain", "phase": "begin", "hosts": [], "to": ["s1"], "number": 9}
+    drains = (1.0, "fault", drain)
+    gone = (0.5, "fault", {"what": "list-down", "phase": "begin", "hosts": [], "to": ["list"], "number": 1})
+    back = (2.0, "fault", {"what": "list-down", "phase": "over", "hosts": [], "number": 1})
+    cut = (0.5, "fault", {"what": "cut", "phase": "begin", "hosts": ["h1"], "to": ["list"], "number": 2})
+    healed = (3.0, "fault", {"what": "cut", "phase": "over", "hosts": ["h1"], "number": 2})
+
+    def sent(at: float, host: str = "h1", server: str = "s1") -> tuple[float, str, dict[str, Any]]:
+        return at, "arrive", {"host": host, "server": server, "sent": at, "call": "a"}
+
+    assert broken(history(drains, sent(7.5))) == set()
+    assert broken(history(drains, sent(7.6))) == {"told"}
+    assert broken(history(drains, sent(7.6, server="s2"))) == set()
+    assert broken(history(drains, gone, sent(20.0))) == set()  # it cannot be reached
+    assert broken(history(drains, gone, back, sent(8.5))) == set()
+    assert broken(history(drains, gone, back, sent(8.6))) == {"told"}
+    assert broken(history(drains, cut, healed, sent(9.5))) == set()
+    assert broken(history(drains, cut, healed, sent(9.6))) == {"told"}
+    assert broken(history(drains, cut, healed, sent(7.6, "h2"))) == {"told"}  # cut off was another
+    frozen = fault(5, "freeze", number=3), fault(8, "freeze", "over", number=3)
+    assert broken(history(drains, *frozen, sent(8.1))) == set()
+
+
+def test_attempts_that_begin_for_who_has_left() -> None:
+    def sent(at: float, host: str = "h1") -> tuple[float, str, dict[str, Any]]:
+        return at, "arrive", {"host": host, "server": "s1", "sent": at, "call": "a"}
+
+    left = ask(1, "a"), (1.2, "left", {"host": "h1", "call": "a"}), told(1.2, "a", "left")
+    assert broken(history(*left, sent(1.3), sent(1.31), sent(1.32))) == set()
+    assert broken(history(*left, sent(1.4), sent(1.5))) == set()  # two are put down to chance
+    assert broken(history(*left, sent(1.4), sent(1.5), sent(1.6))) == {"gone"}
+    frozen = fault(1.3, "freeze"), fault(1.5, "freeze", "over")
+    assert broken(history(*left, *frozen, sent(1.51), sent(1.52), sent(1.53))) == set()
+
+
 def test_a_cold_server_that_all_hosts_together_push_over() -> None:
     row = {"server": "s1", "capacity": 100.0, "from": 0.3, "multiple": 3.0, "span_s": 1.0, "cold_s": 9.0}
     some = [
--- a/tests/storm/test_storms.py
+++ b/tests/storm/test_storms.py
@@ -28,6 +28,7 @@
 [load]
 clients = 4
 pause_ms = 30
+{load}
 [void]
 lag_ms = 2000
 relay_us = 100000
@@ -78,7 +79,7 @@
 
 
 def storm(name: str, faults: str, **more: Any) -> Any:
-    words = {"seconds": 3.2, "hosts": 2, "instances": 2, "more": "", **more}
+    words = {"seconds": 3.2, "hosts": 2, "instances": 2, "more": "", "load": "", **more}
     return parse((HEAD.format(name=name, **words) + faults).encode(), Path(f"{name}.toml"))
 
 
@@ -100,6 +101,23 @@
     assert verdict["figures"]["served"] > 50
 
 
+# The list is out, all calls to it fail, and meanwhile servers begin to drain.
+LIST_AWAY = fault("list-down", 0.3, 1.2) + fault("server-drain", 0.8, to="s1 s2")
+# Callers leave servers that hang, whose connections then break: what would be repeated is no longer wanted.
+LEAVING = fault("server-hang", 0.3, 4.0, to="s3 s4") + "".join(
+    fault("reset", 1.0 + 0.5 * number, 0, "h1 h2", "s3 s4") for number in range(6)
+)
+LEAVE = "leave = 0.6\nleave_ms = 300"
+
+
+@pytest.mark.parametrize("program", ["daemon", "platform"])
+def test_what_the_list_had_is_told_in_time_and_nothing_is_sent_for_who_has_left(program: str) -> None:
+    more = "platform = true" if program == "platform" else ""
+    verdict = play(storm("told", LIST_AWAY + LEAVING, seconds=8.5, more=more, load=LEAVE), 1)
+    assert verdict["result"] == "held", json.dumps(verdict, indent=1)
+    assert verdict["figures"]["left"] > 20 and verdict["figures"]["served"] > 50
+
+
 PLANTED = {
     "repeats-unsafe": (
         "once",
@@ -110,6 +128,8 @@
         fault("server-drain", 0.4, to="s1 s2") + fault("cut", 0.6, 4.5, "h1 h2", "list"),
     ),
     "skips-sync": ("records", fault("power", 1.4, 0.3, "h1 h2")),
+    "asks-late": ("told", LIST_AWAY),
+    "sends-for-gone": ("gone", LEAVING),
 }
 SEEDS = 3  # within which each has to be found
 
@@ -118,18 +138,19 @@
 def test_a_planted_defect_is_caught(plant: str) -> None:
     """And the program without it keeps the rule in the same storm."""
     rule, faults = PLANTED[plant]
-    seconds = 6.0 if plant == "forgets-drains" else 3.0
-    more = f'plant = "{plant}"\n'
+    seconds = {"forgets-drains": 6.0, "asks-late": 8.5, "sends-for-gone": 5.0}.get(plant, 3.0)
+    words = {"seconds": seconds, "load": LEAVE if plant == "sends-for-gone" else ""}
+    planted = storm(plant, faults, more=f'plant = "{plant}"\n', **words)
     caught = next(
         (
             seed
             for seed in range(1, SEEDS + 1)
-            if play(storm(plant, faults, seconds=seconds, more=more), seed)["rules"][rule]["breaches"]
+            if play(planted, seed)["rules"][rule]["breaches"]
         ),
         None,
     )
     assert caught is not None
-    well = play(storm("well", faults, seconds=seconds), caught)
+    well = play(storm("well", faults, **words), caught)
     assert not well["rules"][rule]["breaches"], json.dumps(well["rules"][rule], indent=1)
 
 
@@ -160,7 +181,8 @@
 def test_the_command_runs_a_storm_and_tells_how_it_ended(tmp_path: Path) -> None:
     path = tmp_path / "short.toml"
     path.write_text(
-        HEAD.format(name="short", seconds=1.0, hosts=1, instances=1, more="") + fault("freeze", 0.3, 0.3)
+        HEAD.format(name="short", seconds=1.0, hosts=1, instances=1, more="", load="")
+        + fault("freeze", 0.3, 0.3)
     )
     words = [sys.executable, "-m", "sorrelfront.cli.main", "storm"]
     done = subprocess.run(
