Baseline and CircuitBreaker: the field's names for Usual and Shut

Words of our own hid two standard concepts in the decision module: a baseline that samples are measured by, and a circuit breaker with one trial. Held stays: the agent, the module and the settings' key say it of one thing. No decision changes.

--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -421,7 +421,7 @@
         known = self._agent.balancer.servers.get(server) if self._agent is not None else None
         if known is None:
             return Answering.UNKNOWN
-        if known.shut.failures:
+        if known.breaker.failures:
             return Answering.NO
         return Answering.YES if known.heard_at >= since else Answering.UNKNOWN
 
--- a/sorrelfront/decisions/balancer.py
+++ b/sorrelfront/decisions/balancer.py
@@ -21,7 +21,7 @@
 PENALTY = 4.0  # a failure counts as four usual latencies: worse than a loaded server, no verdict for good
 SLICE_LEAST = 4  # servers drawn from at least: two to compare and two to spare
 SLICE_US = 500_000  # one more server for each request in this time, so that each is heard from that often
-DRAWS = 8  # tries to draw a fit server before giving up: keeps a pick O(1) when most are cold or shut
+DRAWS = 8  # tries to draw a fit server before giving up: keeps a pick O(1) when most are cold or broken off
 RETRY_SHARE = 0.2  # retries a request earns: a storm cannot add more than this to the load
 RETRY_BURST = 20.0  # retries saved up at most: one bad backend's share of a second or two
 MEMORY = 64  # samples that a usual value looks back on
@@ -40,11 +40,11 @@
 COME_BACK = 0.25  # share of its aim that a refused client is told to stay away
 SILENT = 3.0  # intervals between answers that a silence may last by chance: one in twenty is longer
 SILENT_LONG = 8.0  # usual latencies: one that looks silent for longer is drawn only where all others do too
-SHUT_LONGEST = 16  # back-off from a server that refuses connections doubles up to so many connect time-outs
+BREAKER_LONGEST = 16  # connect time-outs; up to here the back-off from a server that refuses them doubles
 ROOM_TIMES = 4  # connect time-outs for which a server's refusal of further connections is remembered
 
 
-class Usual:
+class Baseline:
     """A running usual value that leans to the low samples: what is common without congestion."""
 
     __slots__ = ("count", "value")
@@ -68,10 +68,10 @@
     """What samples say of late, falling back to the usual value as they age. Risk: an agent that refuses on a
     few slow samples gets no new ones, and would go on refusing for ever."""
 
-    __slots__ = ("_read", "_read_at", "decay_us", "stamp", "usual", "value")
+    __slots__ = ("_read", "_read_at", "baseline", "decay_us", "stamp", "value")
 
     def __init__(self, value: float, decay_us: float) -> None:
-        self.usual = Usual(value)
+        self.baseline = Baseline(value)
         self.value = value
         self.stamp = 0
         self.decay_us = decay_us
@@ -85,13 +85,13 @@
 
     def read(self, now: int) -> float:
         if now != self._read_at:
-            usual = self.usual.value
+            usual = self.baseline.value
             self._read = usual + (self.value - usual) * exp((self.stamp - now) / self.decay_us)
             self._read_at = now
         return self._read
 
     def add(self, sample: float, now: int) -> None:
-        self.usual.add(sample)
+        self.baseline.add(sample)
         self._read_at = -1
         value = self.read(now)
         self.value = value + (sample - value) * RECENT
@@ -113,7 +113,7 @@
         self.ahead += (ahead - self.ahead) * RECENT
 
 
-class Shut:
+class CircuitBreaker:
     """A way that failed is left alone for a while that doubles; then a single trial decides on the next."""
 
     __slots__ = ("failures", "until")
@@ -122,23 +122,23 @@
         self.failures = self.until = 0
 
     def fail(self, now: int, unit_us: int) -> None:
-        self.until = now + min(SHUT_LONGEST, 2**self.failures) * unit_us
-        self.failures = min(self.failures + 1, SHUT_LONGEST)
+        self.until = now + min(BREAKER_LONGEST, 2**self.failures) * unit_us
+        self.failures = min(self.failures + 1, BREAKER_LONGEST)
 
     def mend(self) -> None:
         self.failures = self.until = 0
 
     def try_once(self, now: int, unit_us: int) -> None:
-        """If it was shut this attempt is the trial: nobody else until its outcome or another back-off."""
+        """If it was open this attempt is the trial: nobody else until its outcome or another back-off."""
         if self.until:
-            self.until = now + unit_us * SHUT_LONGEST
+            self.until = now + unit_us * BREAKER_LONGEST
 
 
 class Server:
     """What this balancer knows of one backend: a peak estimate to pick by, a plain mean to forecast by."""
 
-    __slots__ = ("ahead", "decay_us", "estimate", "heard_at", "info", "kind", "mean", "pending", "room",
-                 "room_until", "shut", "stamp", "warm_at")  # fmt: skip
+    __slots__ = ("ahead", "breaker", "decay_us", "estimate", "heard_at", "info", "kind", "mean", "pending",
+                 "room", "room_until", "stamp", "warm_at")  # fmt: skip
 
     def __init__(self, info: api.Backend, kind: Kind, cold_us: int, decay_us: float) -> None:
         self.decay_us = decay_us
@@ -154,20 +154,20 @@
         self.stamp = -1  # never heard from
         self.heard_at = -1  # its last good answer
         self.room = self.room_until = 0  # what it was seen to hold of ours, and for how long that counts
-        self.shut = Shut()
+        self.breaker = CircuitBreaker()
         self.warm_at = info.started_us + cold_us if info.started_us else 0
 
     def fit(self, now: int) -> bool:
         # `open`, written out: it is asked of each server drawn.
         return (
             self.warm_at <= now
-            and self.shut.until <= now
+            and self.breaker.until <= now
             and (self.room_until <= now or len(self.pending) < self.room)
         )
 
     def open(self, now: int) -> bool:
         """Whether anything may be sent to it, be it cold."""
-        return self.shut.until <= now and (self.room_until <= now or len(self.pending) < self.room)
+        return self.breaker.until <= now and (self.room_until <= now or len(self.pending) < self.room)
 
     def silent(self, now: int) -> bool:
         """Whether it answers nothing of what waits for it. Risk: with two of seven hung, one draw in twenty
@@ -255,7 +255,7 @@
         Harm: where others make the wait, our own pending says little of it, and the forecast is noisier."""
         kind, weight = self.kind.read(now), self.weight(now)
         mean = kind + (self.mean - kind) * weight
-        wait = mean - self.kind.usual.value
+        wait = mean - self.kind.baseline.value
         if wait > 0.0:
             mean += wait * ((len(self.pending) + 1) / (self.usually_ahead(weight) + 1) - 1.0)
         return self.at_least(mean, now)
@@ -285,8 +285,8 @@
         self.settings = settings
         self.random = Random(seed).random
         self.started = now
-        self.usual: dict[str, Usual] = {}
-        self.hints: dict[str, Usual] = {}
+        self.baselines: dict[str, Baseline] = {}
+        self.hints: dict[str, Baseline] = {}
         self.sent_at = now  # the last attempt
         self._adopt_classes(settings)
         self.common_us = 0.0  # the usual latency of a request of any class
@@ -311,8 +311,8 @@
         self.decay_us, self.recent_us = DECAY_AIMS * mean_us, RECENT_AIMS * mean_us
         self.probe_us = min(PROBE_MOST_US, mean_us)
         for cls in settings.classes:
-            self.usual.setdefault(cls.name, Usual(cls.aim_us / 3))
-            self.hints.setdefault(cls.name, Usual(0.0))
+            self.baselines.setdefault(cls.name, Baseline(cls.aim_us / 3))
+            self.hints.setdefault(cls.name, Baseline(0.0))
         by_work = settings.worth_by_work
         value = {cls.name: cls.worth / (1 if by_work else cls.aim_us) for cls in settings.classes}
         self.dearest = max(settings.classes, key=lambda cls: value[cls.name])
@@ -393,7 +393,7 @@
             hints = self.hints[cls.name]
             hints.add(event.cost_hint_us)
             units = 0.5 + 0.5 * min(8.0, event.cost_hint_us / hints.value)
-        self.common_us += (self.usual[cls.name].value - self.common_us) / min(MEMORY, self.requests + 1)
+        self.common_us += (self.baselines[cls.name].value - self.common_us) / min(MEMORY, self.requests + 1)
         held = self.held[event.id] = Held(event, cls, units, now)
         retries = self.retries + RETRY_SHARE
         self.retries = retries if retries < RETRY_BURST else RETRY_BURST
@@ -458,7 +458,7 @@
         return self._place(held, now)
 
     def _expected_us(self, units: float, cls: api.RequestClass) -> float:
-        return max(1.0, units * self.usual[cls.name].value)
+        return max(1.0, units * self.baselines[cls.name].value)
 
     def _learn(
         self,
@@ -476,7 +476,7 @@
             # Ahead of what is made of it. Risk: where the guess for a class was a third of what is usual, its
             # first answers say that all servers take three times as long; the class learns at once, they
             # do not, and idle servers pass for crowded ones.
-            self.usual[cls.name].add(event.elapsed_us)
+            self.baselines[cls.name].add(event.elapsed_us)
         sample = event.elapsed_us / self._expected_us(units, cls)
         if outcome is api.Outcome.CANCELLED or outcome is api.Outcome.TIMEOUT:
             # It would have taken longer: never a reason to think better of the server.
@@ -493,13 +493,13 @@
             server.kind.hear(sample, ahead, now)
         unit_us = self.settings.connect_timeout_us
         if outcome is api.Outcome.UNREACHABLE or outcome is api.Outcome.RESET:
-            if server.heard_at < 0 or now - server.heard_at > unit_us or server.shut.failures:
-                server.shut.fail(now, unit_us)
+            if server.heard_at < 0 or now - server.heard_at > unit_us or server.breaker.failures:
+                server.breaker.fail(now, unit_us)
             elif outcome is api.Outcome.UNREACHABLE:
                 server.crowded(now, ROOM_TIMES * unit_us)
         elif outcome is api.Outcome.OK:
             server.heard_at = now
-            server.shut.mend()
+            server.breaker.mend()
         # Only what was waited for tells whether the fleet is late. Risk: errors, whatever their cause, taken
         # for crowding; then the whole fleet is spared for what a part of it, or one class, brings on itself.
         if outcome is api.Outcome.OK:
@@ -545,7 +545,7 @@
         held.open.add(held.attempts)
         held.tried.append(server)
         held.attempts += 1
-        server.shut.try_once(now, self.settings.connect_timeout_us)
+        server.breaker.try_once(now, self.settings.connect_timeout_us)
         return [api.Send(held.request.id, server.info.id, left_us, begin_before_us)]
 
     def _allowed(self, held: Held, now: int) -> list[Server]:
@@ -596,8 +596,9 @@
         return one if two is None or one.load(now) <= two.load(now) else two
 
     def _draw(self, pool: list[Server], other: Server | None, now: int) -> Server | None:
-        """A random server that is warm, not shut and not `other`; a silent one only if no other is found. The
-        last draws walk on from a random place, so that a small pool is searched through."""
+        """A random server that is warm, whose breaker is closed, and not `other`; a silent one only if no
+        other is found. The last draws walk on from a random place, so that a small pool is searched
+        through."""
         size = len(pool)
         random = self.random
         start = int(random() * size)
@@ -634,7 +635,7 @@
         crowd, it takes for usual. Where that comes to the aim no wait at all is left, the dearest class takes
         the others' room with it, and with every server idle everything is refused. Harm: a class that can
         hardly be served in time at rest is sent all the same."""
-        return max(cls.aim_us - self.usual[cls.name].value, ROOM_LEAST * cls.aim_us)
+        return max(cls.aim_us - self.baselines[cls.name].value, ROOM_LEAST * cls.aim_us)
 
     def _end(self, held: Held) -> list[api.Action]:
         """The final answer. A refusal says that a retry does no harm: only where no attempt may have run,
--- a/sorrelfront/decisions/learnt.py
+++ b/sorrelfront/decisions/learnt.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from sorrelfront.decisions.balancer import Balancer, Kind, Recent, Usual
+from sorrelfront.decisions.balancer import Balancer, Baseline, Kind, Recent
 from sorrelfront.errors import SorrelfrontError
 
 VERSION = 1
@@ -33,7 +33,7 @@
 
 
 def _recent(item: Recent, now: int) -> list[float]:
-    return [item.usual.value, item.usual.count, item.value, now - item.stamp]
+    return [item.baseline.value, item.baseline.count, item.value, now - item.stamp]
 
 
 def snapshot(balancer: Balancer, now: int, at_us: int) -> str:
@@ -43,7 +43,9 @@
     body: dict[str, Any] = {
         "at_us": at_us,
         "common_us": balancer.common_us,
-        "usual": {name: [item.value, item.count] for name, item in [*balancer.usual.items()][:NAMES_MOST]},
+        "usual": {
+            name: [item.value, item.count] for name, item in [*balancer.baselines.items()][:NAMES_MOST]
+        },
         "hints": {name: [item.value, item.count] for name, item in [*balancer.hints.items()][:NAMES_MOST]},
         "kinds": {
             name: [*_recent(kind, now), kind.ahead] for name, kind in [*balancer.kinds.items()][:NAMES_MOST]
@@ -172,10 +174,10 @@
     older = max(0, int(at_us - made_us))  # since then
     if aging_us:
         older = min(older, aging_us)
-    for table, rows in ((balancer.usual, usual), (balancer.hints, hints)):
+    for table, rows in ((balancer.baselines, usual), (balancer.hints, hints)):
         for name, row in rows.items():
             if name in table:
-                _set_usual(table[name], row)
+                _set_baseline(table[name], row)
     for name, row in kinds.items():
         kind = balancer.kinds.setdefault(name, Kind(1.0, balancer.recent_us))
         _set_recent(kind, row, now, older)
@@ -194,10 +196,10 @@
     return count
 
 
-def _set_usual(item: Usual, row: list[float]) -> None:
+def _set_baseline(item: Baseline, row: list[float]) -> None:
     item.value, item.count = row[0], int(max(0, row[1]))
 
 
 def _set_recent(item: Recent, row: list[float], now: int, older: int) -> None:
-    _set_usual(item.usual, row)
+    _set_baseline(item.baseline, row)
     item.set(row[2], max(0, now - older - int(row[3])))
--- a/tests/decisions/test_learnt.py
+++ b/tests/decisions/test_learnt.py
@@ -46,7 +46,7 @@
         later = new.servers[name]
         assert later.project(NOW + 1_000_000) == pytest.approx(server.project(21_100_000))
         assert later.forecast(NOW + 1_000_000) == pytest.approx(server.forecast(21_100_000))
-    assert new.usual["read"].value == old.usual["read"].value and new.common_us == old.common_us
+    assert new.baselines["read"].value == old.baselines["read"].value and new.common_us == old.common_us
     assert snapshot(new, NOW + 1_000_000, UNIX).split("late")[0]
 
 
--- a/tests/net/test_long_bodies.py
+++ b/tests/net/test_long_bodies.py
@@ -394,7 +394,7 @@
             client.send(data[200_000:])
             assert await body_of(client) == (200, b"served")
             (one,) = made.agent.balancer.servers.values()
-            assert one.mean * made.agent.balancer.usual["pay"].value < 900_000
+            assert one.mean * made.agent.balancer.baselines["pay"].value < 900_000
 
     asyncio.run(play())
 
@@ -496,6 +496,6 @@
             client = await made.client()
             client.send(request("r"))
             assert (await client.answer())[0] == 200
-            assert made.agent.balancer.usual["look"].value < 900_000
+            assert made.agent.balancer.baselines["look"].value < 900_000
 
     asyncio.run(play())
--- a/tests/test_estimate.py
+++ b/tests/test_estimate.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sorrelfront.decisions.balancer import LET_THROUGH, PENALTY, Kind, Recent, Server, Usual
+from sorrelfront.decisions.balancer import LET_THROUGH, PENALTY, Baseline, Kind, Recent, Server
 from sorrelfront.decisions.interface import Backend, Outcome
 from tests.helpers import CLASSES, SAFE, balancer, ended, request, sends, settings
 
@@ -32,7 +32,7 @@
 
 def test_the_projection_fades_to_the_kind_and_not_to_zero() -> None:
     one = server()
-    one.kind.value = one.kind.usual.value = 2.0
+    one.kind.value = one.kind.baseline.value = 2.0
     one.observe(6.0, 1)
     assert one.project(1_000_001) == pytest.approx(2.0 + 4.0 * exp(-1.0))
     assert one.project(60_000_001) == pytest.approx(2.0)
@@ -40,7 +40,7 @@
 
 def test_an_unseen_server_stands_as_its_kind_does() -> None:
     one = server()
-    one.kind.value = one.kind.usual.value = 1.7
+    one.kind.value = one.kind.baseline.value = 1.7
     assert one.project(5) == pytest.approx(1.7)
     assert one.load(5) == pytest.approx(1.7)
 
@@ -62,7 +62,7 @@
 
 
 def test_usual_leans_to_the_low_samples() -> None:
-    usual = Usual(5.0)
+    usual = Baseline(5.0)
     for _ in range(200):
         usual.add(1.0)
         usual.add(3.0)
@@ -76,7 +76,7 @@
     for _ in range(20):
         recent.add(9.0, 0)
     high = recent.read(0)
-    usual = recent.usual.value
+    usual = recent.baseline.value
     assert high > 5.0
     assert recent.read(1_000_000) == pytest.approx(usual + (high - usual) * exp(-1.0))
 
@@ -106,8 +106,8 @@
     for number in range(4):  # all were sent under the guess
         ended(made, number, 0, Outcome.OK, 100_000, elapsed_us=SAFE.aim_us)
     (one,) = made.servers.values()
-    assert made.usual[SAFE.name].value == pytest.approx(SAFE.aim_us)
-    assert one.kind.usual.value == pytest.approx(1.0) and one.forecast(100_000) == pytest.approx(1.0)
+    assert made.baselines[SAFE.name].value == pytest.approx(SAFE.aim_us)
+    assert one.kind.baseline.value == pytest.approx(1.0) and one.forecast(100_000) == pytest.approx(1.0)
 
 
 def never() -> float:
@@ -119,10 +119,10 @@
     """Its usual latency has come to the aim: no wait is left, and the dearest takes the others' room."""
     made = balancer(4)
     for cls in made.classes.values():
-        made.usual[cls.name].value = cls.aim_us
+        made.baselines[cls.name].value = cls.aim_us
     made.common_us, made.requests, made.random = SAFE.aim_us, 64, never
     for kind in made.kinds.values():
-        kind.value = kind.usual.value = 1.1  # a tenth of it above the usual
+        kind.value = kind.baseline.value = 1.1  # a tenth of it above the usual
     made.sent_at = 1_000_000
     assert len(sends(request(made, 1, SAFE, 1_000_000))) == 1
 
@@ -131,10 +131,10 @@
     """Nothing of what it goes by is news: with little traffic, one in a hundred is none in many seconds."""
     made = balancer(4)
     made.late.set(1.0, 0)
-    made.late.usual.value = 1.0
+    made.late.baseline.value = 1.0
     made.common_us, made.requests, made.random = SAFE.aim_us, 64, never
     for kind in made.kinds.values():
-        kind.value = kind.usual.value = 100.0
+        kind.value = kind.baseline.value = 100.0
     sent = []
     for number in range(60):  # a request each 20 ms, every mean aim of 100 ms one goes
         now = number * 20_000
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -364,8 +364,8 @@
     for seed in range(50):
         made = Balancer(settings(classes=(cheap, dear), worth_by_work=True), seed, 0)
         made.on_list(BackendList(ListKind.FULL, backends(2)), 0)
-        made.usual["cheap"].value, made.usual["dear"].value = 200_000.0, 600_000.0
-        made.late.value = made.late.usual.value = 0.05
+        made.baselines["cheap"].value, made.baselines["dear"].value = 200_000.0, 600_000.0
+        made.late.value = made.late.baseline.value = 0.05
         for server in made.servers.values():
             server.observe(1.4, 0)
             server.mean = 1.4  # an expected wait of 0.1 to 0.2 s
@@ -382,7 +382,7 @@
     refused = 0
     for seed in range(300):
         made = balancer(4, seed=seed)
-        made.late.value = made.late.usual.value = late
+        made.late.value = made.late.baseline.value = late
         for name in ("b000", "b001"):
             made.servers[name].observe(300.0, 0)
         refused += isinstance(request(made, 1, SAFE, 0)[0], Refuse)
@@ -395,7 +395,7 @@
     for seed in range(50):
         for is_retry in (False, True):
             made = balancer(2, seed=seed)
-            made.late.value = made.late.usual.value = 0.05
+            made.late.value = made.late.baseline.value = 0.05
             for server in made.servers.values():
                 server.observe(1.6, 0)
                 server.mean = 2.6  # expected wait: 53 ms of 60
