A closed agent opens no call to the list service: timers set before its end do nothing

Seen as a warning in the suite (a watch's coroutine that was never awaited): the module's timer for the list fired behind Agent.close, which opened a call that nobody owned. What the module decides behind the end sends nothing, sets no timer and asks for nothing; what is still owed is failed. In the programs that run the agent closes last, so nothing was lost there.

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -140,6 +140,7 @@
         self._held: dict[int, Held] = {}
         self._open_ids: set[bytes] = set()  # of the held requests, as their clients named them
         self._running: dict[tuple[int, int], Running] = {}
+        self._closed = False
         self._count = 0
         self.tallies = {name: Tally() for name in self._classes}
 
@@ -193,6 +194,9 @@
         self._tell(self.balancer.on_settings, settings)
 
     def close(self) -> None:
+        """The end: what is still owed is failed, what is out is called off, and nothing more begins."""
+        self._closed = True
+        self.fail_all()
         self._source.close()
         for task in self._running.values():
             task.cancel()
@@ -332,6 +336,10 @@
     def _run(self, actions: list[api.Action]) -> None:
         for action in actions:
             match action:
+                case api.Send() | api.SetTimer() | api.Subscribe() if self._closed:
+                    # Risk: a timer that was set before the end opens a call to the list service that nobody
+                    # closes.
+                    continue
                 case api.Send():
                     self._send(action)
                 case api.Refuse(request_id, retry_after_us):
--- a/tests/test_ask.py
+++ b/tests/test_ask.py
@@ -43,3 +43,18 @@
             agent.close()
 
     asyncio.run(play())
+
+
+def test_a_timer_that_was_set_before_the_end_asks_for_nothing_behind_it() -> None:
+    async def play() -> None:
+        told = Told()
+        agent = Agent(parse(table("127.0.0.1:9", [])), Upstream(8, 1, 1), lambda *_: told)
+        due = asyncio.Event()
+        agent.close()
+        agent._run([api.SetTimer(0, "subscribe"), api.Subscribe()])
+        agent._tell(agent.balancer.on_timer, api.Timer("subscribe"))
+        agent._loop.call_soon(due.set)
+        await due.wait()
+        assert told.asked == 0
+
+    asyncio.run(play())
