--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -1,6 +1,6 @@
 """What all agents together send a cold server: many balancers in memory against the standing test's rule.
 
-    python -m benchmarks.cold --agents 30 --servers 40 --seeds 5 --multiple 1.5
+    python -m benchmarks.cold --agents 30 --servers 40 --seeds 5 --multiple 1.5 --span-s 3
 
 Half of the servers are replaced within 7 s, cold; a tenth of the agents starts anew meanwhile; one server
 in twenty falls and starts again under its id. Agents' shares of the traffic are log-normal. A cold server may
@@ -24,11 +24,21 @@
 CLASS = api.RequestClass("look", api.Effect.SAFE, aim_us=600_000, deadline_us=3_000_000)
 
 
-def settings(number: int, agents: int, multiple: float) -> api.Settings:
+@dataclass(frozen=True)
+class Cold:
+    """What a deployment says of its cold servers. `start`: their speed at first, of a warm one's."""
+
+    multiple: float = 3.0
+    span_s: float = 1.5
+    start: float = 0.32
+    warm_s: float = 9.0
+
+
+def settings(number: int, agents: int, cold: Cold) -> api.Settings:
     return api.Settings(
-        classes=(CLASS,), drain_grace_us=500_000, cold_from=0.32, cold_us=9 * SECOND,
-        cold_multiple=multiple, cold_span_us=1_500_000, answer_slack_us=5_000, max_attempts=4,
-        number=number, agents=agents, may_cancel=True, max_retry_after_us=2 * SECOND,
+        classes=(CLASS,), drain_grace_us=500_000, cold_from=cold.start, cold_us=int(cold.warm_s * SECOND),
+        cold_multiple=cold.multiple, cold_span_us=int(cold.span_s * SECOND), answer_slack_us=5_000,
+        max_attempts=4, number=number, agents=agents, may_cancel=True, max_retry_after_us=2 * SECOND,
         connect_timeout_us=250_000,
     )  # fmt: skip
 
@@ -67,10 +77,10 @@
 
 class World:
     def __init__(
-        self, agents: int, servers: int, seed: int, load: float, seconds: int, multiple: float, work_us: float
+        self, agents: int, servers: int, seed: int, load: float, seconds: int, cold: Cold, work_us: float
     ) -> None:
         self.random = Random(seed)
-        self.terms = settings(0, agents, multiple)
+        self.terms = settings(0, agents, cold)
         self.seconds = seconds
         self.now = 0
         self.result = Result()
@@ -164,10 +174,10 @@
     seed: int,
     load: float = 0.9,
     seconds: int = 20,
-    multiple: float = 3.0,
+    cold: Cold | None = None,
     work_us: float = 60_000.0,
 ) -> Result:
-    return World(agents, servers, seed, load, seconds, multiple, work_us).play()
+    return World(agents, servers, seed, load, seconds, cold or Cold(), work_us).play()
 
 
 def main() -> None:
@@ -177,12 +187,14 @@
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--load", type=float, default=0.9, help="of what all servers can do when warm")
     parser.add_argument("--multiple", type=float, default=3.0, help="of its part that a cold server bears")
+    parser.add_argument("--span-s", type=float, default=1.5, help="in which that is counted")
+    parser.add_argument("--start", type=float, default=0.32, help="its speed at first, of a warm one's")
+    parser.add_argument("--warm-s", type=float, default=9.0, help="until it is warm")
     parser.add_argument("--work-ms", type=float, default=60.0, help="of a request at a warm server")
     told = parser.parse_args()
+    cold = Cold(told.multiple, told.span_s, told.start, told.warm_s)
     for seed in range(1, told.seeds + 1):
-        found = run(
-            told.agents, told.servers, seed, told.load, multiple=told.multiple, work_us=told.work_ms * 1000
-        )
+        found = run(told.agents, told.servers, seed, told.load, cold=cold, work_us=told.work_ms * 1000)
         print(
             f"seed {seed}: {found.arrivals} arrivals, {found.cold_arrivals} at cold servers, "
             f"worst {found.worst:.2f} of what one may get, {found.falls} over it"
--- a/tests/decisions/test_cold.py
+++ b/tests/decisions/test_cold.py
@@ -20,7 +20,7 @@
 @pytest.mark.parametrize("multiple", [1.0, 1.5])
 def test_a_cold_server_that_bears_little_more_than_its_part_gets_less_of_its_share(multiple: float) -> None:
     """In a crowd: what agents send is over what all servers can do."""
-    found = cold.run(AGENTS, SERVERS, 1, load=1.3, seconds=SECONDS, multiple=multiple)
+    found = cold.run(AGENTS, SERVERS, 1, load=1.3, seconds=SECONDS, cold=cold.Cold(multiple))
     assert found.cold_arrivals > 100
     assert found.falls == 0 and found.worst < 0.95
 
