A supervisor that stood still takes no instance for hung; a shorter hang_after_ms holds at once

Ruled out: hearing first what waits in the channels (it is done, and the instances were stopped too, so nothing waits there).

Supervision now asks for a look at the clock every 250 ms while a process is awaited, and a gap longer than two of these is added to what each of them has still to do: to become ready, to beat, to end.

--- a/sorrelfront/daemon/reload.py
+++ b/sorrelfront/daemon/reload.py
@@ -165,6 +165,6 @@
                 send(fleet.runs[name].channel, {"op": "commit"})
         wanted = set(terms.document.addresses.values())
         fleet.close_sockets([address for address in fleet.sockets if address not in wanted])
-        fleet.decide.policy = policy_of(terms.document)
+        fleet.decide.on_policy(policy_of(terms.document), now_us())
         self._committed()
         fleet.do(fleet.decide.on_names(terms.document.names, now_us(), fleet.stop_within_us))
--- a/sorrelfront/decisions/supervision.py
+++ b/sorrelfront/decisions/supervision.py
@@ -12,6 +12,10 @@
 An end that nobody asked for is a failure. After each, the wait before the next start doubles, with a seeded
 spread; a run that lasted `settled_us` starts over. `loop_ends` failures within `loop_span_us` are a crash
 loop: it is reported once and tried on at the longest wait, and nothing else is touched by it.
+
+Time in which this program itself did not run (a host that was suspended, a process that was stopped) is nobody's
+silence and nobody's delay: `next_us` asks for a look at the clock every `look_us`, and a longer gap between
+events is added to whatever an instance has still to do.
 """
 
 from __future__ import annotations
@@ -32,6 +36,9 @@
     STOPPED = "stopped"
 
 
+AWAITED = (Phase.STARTING, Phase.READY, Phase.STOPPING)  # a process is there, and has to do something in time
+
+
 @dataclass(frozen=True, slots=True)
 class Policy:
     """The figures of supervision; all times in microseconds. Raises ValueError."""
@@ -40,6 +47,7 @@
     silent_us: int = 5_000_000  # no heartbeat for so long is a hang
     first_wait_us: int = 200_000
     longest_wait_us: int = 30_000_000
+    look_us: int = 250_000  # between looks at the clock, while any process is waited for
     settled_us: int = 10_000_000  # a run of so long forgives the failures before it
     loop_ends: int = 5
     loop_span_us: int = 60_000_000
@@ -127,6 +135,7 @@
         self.policy = policy
         self.stopping = False
         self._holds = False
+        self._looked = now  # the latest event, whichever
         self._random = Random(seed).random
         self._instances = {name: _Instance(name, now) for name in names}
 
@@ -145,6 +154,7 @@
     def on_adopted(self, name: str, run: int, ready: bool, now: int) -> None:
         """A process of an earlier supervisor is this instance from now on. A name that is not known is one
         that is adopted only to be drained. Raises ValueError if the instance has a process already."""
+        self._look(now)
         instance = self._instances.get(name)
         if instance is None:
             instance = self._instances[name] = _Instance(name, now)
@@ -167,8 +177,18 @@
         instance.failures = min(failures, self.policy.loop_ends)
         instance.ends.extend([now - age_us] * instance.failures)
 
+    def on_policy(self, policy: Policy, now: int) -> None:
+        """Other figures from now on. Risk: a hang would be found only by the figure of a file that was replaced,
+        if it begins before the next sign of life."""
+        self._look(now)
+        self.policy = policy
+        for instance in self._instances.values():
+            if instance.phase is Phase.READY:
+                instance.until = min(instance.until, now + policy.silent_us)
+
     def on_ready(self, name: str, run: int, now: int) -> list[Action]:
         """It takes requests."""
+        self._look(now)
         instance = self._current(name, run)
         if instance is None or instance.phase is not Phase.STARTING:
             return []
@@ -177,6 +197,7 @@
 
     def on_beat(self, name: str, run: int, now: int) -> list[Action]:
         """It has shown that its loop goes round."""
+        self._look(now)
         instance = self._current(name, run)
         if instance is None or instance.phase is not Phase.READY:
             return []
@@ -192,6 +213,7 @@
 
     def on_end(self, name: str, run: int, now: int) -> list[Action]:
         """Its process is gone, however it came to that."""
+        self._look(now)
         instance = self._current(name, run)
         if instance is None or instance.phase in (Phase.BACKOFF, Phase.STOPPED):
             return []
@@ -209,6 +231,7 @@
 
     def on_restart(self, name: str, now: int) -> list[Action]:
         """Replace it: it finishes what it owes, and is started anew. Raises KeyError."""
+        self._look(now)
         instance = self._instances[name]
         if self.stopping or not instance.wanted:
             return []
@@ -221,6 +244,7 @@
 
     def on_drain(self, name: str, now: int, within_us: int) -> list[Action]:
         """Take it out of service for good. Raises KeyError."""
+        self._look(now)
         instance = self._instances[name]
         instance.wanted = False
         if instance.phase is Phase.BACKOFF:
@@ -256,6 +280,7 @@
 
     def on_time(self, now: int) -> list[Action]:
         """What is overdue by now."""
+        self._look(now)
         actions: list[Action] = []
         for instance in self._instances.values():
             if now < instance.until or not self._waits(instance):
@@ -275,7 +300,10 @@
 
     def next_us(self) -> int | None:
         """When `on_time` has something to do at the soonest; None while nothing waits."""
-        return min((item.until for item in self._instances.values() if self._waits(item)), default=None)
+        at = min((item.until for item in self._instances.values() if self._waits(item)), default=None)
+        if at is not None and any(item.phase in AWAITED for item in self._instances.values()):
+            return min(at, self._looked + self.policy.look_us)
+        return at
 
     # What is known
 
@@ -296,6 +324,16 @@
 
     # Steps
 
+    def _look(self, now: int) -> None:
+        """Risk: a program that was itself stopped for longer than `silent_us`, as on a host that was suspended,
+        would kill on its first step every instance for the silence of all, with the requests they hold."""
+        gap = now - self._looked - self.policy.look_us
+        self._looked = now
+        if gap > self.policy.look_us:
+            for instance in self._instances.values():
+                if instance.phase in AWAITED:
+                    instance.until += gap
+
     def _waits(self, instance: _Instance) -> bool:
         """Whether time alone has something done to it."""
         if instance.phase is Phase.BACKOFF:
--- a/tests/daemon/test_fleet.py
+++ b/tests/daemon/test_fleet.py
@@ -195,6 +195,37 @@
     asyncio.run(play())
 
 
+def test_a_host_that_stood_still_for_longer_than_a_hang_goes_on_as_it_was(tmp_path: Path) -> None:
+    """Supervisor and instances stopped together, with a request in flight: nobody is killed for it."""
+
+    async def play() -> None:
+        go, later = gate(OK)
+        backend = await Backend(later).start()
+        async with fleet(tmp_path, backend) as made:
+            made.write(hang_after_ms=1_000)
+            assert (await made.ask("reload"))["ok"]
+            before = await made.ready()
+            client = await connect(made.address)
+            client.send(request("held", "pay"))
+            await until(lambda: len(backend.seen) == 1)
+            pids = [made.process.pid, *(item["pid"] for item in before.values())]
+            for pid in pids:
+                os.kill(pid, signal.SIGSTOP)
+            await asyncio.sleep(1.5)  # the fault itself: longer than `hang_after_ms`
+            for pid in pids:
+                os.kill(pid, signal.SIGCONT)
+            assert (await made.ask("status"))["ok"]  # the supervisor has gone round
+            go.set()
+            assert (await client.answer())[0] == 200
+            after = await made.ready()
+            assert {name: item["pid"] for name, item in after.items()} == {
+                name: item["pid"] for name, item in before.items()
+            }
+        assert "killed" not in made.log.read_text()
+
+    asyncio.run(play())
+
+
 def peers_of(pid: int, port: int) -> set[int]:
     """The client ports of the connections that this process holds on a listening port."""
     inodes = set()
