Streams end in one place: heard out, bounded in time, their descriptors given back

Whoever closes a stream (control socket and its callers, the fleet's and the sites' carriers, ZooKeeper) now goes through net/streams.py: close or abort, hear how it ended, and after 1 s drop what the peer has not taken. That bound is new for the fleet's carrier and the control socket's callers: before, a peer that took nothing kept the descriptor.

--- a/sorrelfront/daemon/control.py
+++ b/sorrelfront/daemon/control.py
@@ -20,6 +20,7 @@
 
 from sorrelfront.daemon.channel import Message, bind_private, is_owner
 from sorrelfront.errors import SorrelfrontError
+from sorrelfront.net.streams import end_stream
 
 FRAME_MOST = 64 * 1024  # bytes, either way
 PEERS_MOST = 16  # connections at once; more are closed at once
@@ -78,8 +79,9 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             pass
         finally:
+            with contextlib.suppress(asyncio.CancelledError):
+                await end_stream(writer)
             self._peers.discard(task)
-            writer.transport.abort() if writer.transport.get_write_buffer_size() else writer.close()
 
     async def _converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
@@ -182,4 +184,4 @@
         raise Unavailable(f"{path}: {fault or type(fault).__name__}") from None
     finally:
         if writer is not None:
-            writer.close()
+            await end_stream(writer)
--- a/sorrelfront/fleet/carrier.py
+++ b/sorrelfront/fleet/carrier.py
@@ -29,6 +29,7 @@
     encode,
 )
 from sorrelfront.fleet.envelope import OVERHEAD, Seal
+from sorrelfront.net.streams import end_stream
 
 log = logging.getLogger("sorrelfront.fleet")
 
@@ -53,13 +54,6 @@
     return time.monotonic_ns() // 1_000
 
 
-async def _ended(writer: asyncio.StreamWriter) -> None:
-    """Close it, and see its end. Risk: a reset that nobody has asked about is logged as an error later."""
-    writer.close()
-    with contextlib.suppress(OSError):
-        await writer.wait_closed()
-
-
 class Carrier:
     """One member on real sockets. UDP and TCP on the same address."""
 
@@ -218,7 +212,7 @@
                     self.counts["sent_bytes"] += len(data)
                     await writer.drain()
                 finally:
-                    await _ended(writer)
+                    await end_stream(writer)
         except OSError:
             self.counts["unsent"] += 1
         finally:
@@ -289,7 +283,7 @@
                     self._write(writer, self.view.whole())
                     answer = await self._read(reader)
                 finally:
-                    await _ended(writer)
+                    await end_stream(writer)
             if isinstance(answer, Whole) and answer.reply:
                 self._do(self.view.on_whole(answer, now_us()))
         except (OSError, asyncio.IncompleteReadError):
@@ -302,7 +296,7 @@
         assert task is not None
         if len(self._peers) >= PEERS_MOST or self._closed:
             self.counts["too_many"] += 1
-            writer.close()
+            writer.transport.abort()
             return
         self._peers.add(task)
         try:
@@ -317,9 +311,9 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            with contextlib.suppress(asyncio.CancelledError):
+                await end_stream(writer)
             self._peers.discard(task)
-            with contextlib.suppress(RuntimeError):  # the loop has ended
-                writer.close()
 
     def _write(self, writer: asyncio.StreamWriter, whole: Whole) -> None:
         data = self.seal.close(encode(whole))
--- a/sorrelfront/net/zookeeper.py
+++ b/sorrelfront/net/zookeeper.py
@@ -41,6 +41,7 @@
     checked_path,
     frame_length,
 )
+from sorrelfront.net.streams import end_stream
 
 log = logging.getLogger(__name__)
 
@@ -324,8 +325,6 @@
             log.warning("%s:%d sent what cannot be read: %s", *host, fault)
         finally:
             self._writer = None
-            if writer is not None:
-                writer.transport.abort()
             # Risk: a request whose connection is gone would wait for ever. Those not sent yet wait on.
             pending, self._pending = self._pending, OrderedDict()
             for asked in pending.values():
@@ -335,6 +334,8 @@
             if held:
                 self._silent_since = self._loop.time()
                 self._tell(Life.SILENT)
+            if writer is not None:
+                await end_stream(writer, abort=True)
         return held
 
     async def _shake_hands(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
--- a/sorrelfront/sites/carrier.py
+++ b/sorrelfront/sites/carrier.py
@@ -20,6 +20,7 @@
 from sorrelfront.decisions.sites.routes import Ask, Border, Lent, News, Partner, Tell
 from sorrelfront.errors import SorrelfrontError
 from sorrelfront.messages import Address
+from sorrelfront.net.streams import end_stream
 from sorrelfront.sites.keys import Keys
 from sorrelfront.sites.wire import ASK_MOST, CHALLENGE, TELL_MOST, BadPartnerWord, Word, pack, read, unpack
 
@@ -181,14 +182,6 @@
         self.counts["sent"] += len(frame)
         self.by_partner[partner] += len(frame)
 
-    def _let_go(self, writer: asyncio.StreamWriter) -> None:
-        """Close it at once, and hear out what its end was: nobody else asks, and it would be told as an error
-        that nobody saw."""
-        writer.transport.abort()
-        task = asyncio.get_running_loop().create_task(_closed(writer))
-        self._serving.add(task)
-        task.add_done_callback(self._serving.discard)
-
     def _received(self, count: int) -> None:
         self.counts["received"] += count
 
@@ -228,12 +221,13 @@
             pass
         finally:
             self._open -= 1
-            self._serving.discard(task)
             if asker is not None:
                 self._askers.discard(asker)
                 if asker.timer is not None:
                     asker.timer.cancel()
-            self._let_go(writer)
+            with contextlib.suppress(asyncio.CancelledError):
+                await end_stream(writer, abort=True)
+            self._serving.discard(task)
 
     def _may_ask(self, asker: _Asker) -> bool:
         now = time.monotonic()
@@ -301,7 +295,7 @@
         finally:
             if pump is not None:
                 pump.cancel()
-            self._let_go(writer)
+            await end_stream(writer, abort=True)
 
     async def _pump(
         self,
@@ -430,11 +424,6 @@
     return found, time.thread_time() - began
 
 
-async def _closed(writer: asyncio.StreamWriter) -> None:
-    with contextlib.suppress(OSError):
-        await writer.wait_closed()
-
-
 async def _next(words: asyncio.Queue[Word | Exception]) -> Word:
     word = await words.get()
     if isinstance(word, Exception):
