--- a/sorrelfront/cli/main.py
+++ b/sorrelfront/cli/main.py
@@ -11,8 +11,6 @@
 from typing import Any
 
 import click
-from rich.console import Console
-from rich.table import Table
 
 from sorrelfront.cli.policy import policy
 from sorrelfront.cli.storm import storm
@@ -120,6 +118,9 @@
     answer = _ask(document, {"op": "status"})
     if as_json or not answer.get("ok"):
         _told(answer, as_json, "")
+    from rich.console import Console
+    from rich.table import Table
+
     console = Console()
     table = Table(box=None, pad_edge=False)
     for name in ("name", "phase", "run", "pid", *FIGURES):
@@ -182,6 +183,9 @@
     if as_json:
         click.echo(json.dumps({key: answer[key] for key in ("fleet", "self", "agreeing", "members")}))
         return
+    from rich.console import Console
+    from rich.table import Table
+
     console = Console()
     if not console.is_terminal:
         console = Console(width=PIPE_WIDTH)
--- a/sorrelfront/daemon/fellow.py
+++ b/sorrelfront/daemon/fellow.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import asyncio
-import importlib.metadata
 import logging
 from collections.abc import Callable
 from pathlib import Path
@@ -163,6 +162,8 @@
 
 
 def _version() -> str:
+    import importlib.metadata  # takes a tenth of an instance's start
+
     try:
         return importlib.metadata.version("sorrelfront")
     except importlib.metadata.PackageNotFoundError:
--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -23,7 +23,7 @@
 from typing import TYPE_CHECKING, Any
 
 from sorrelfront.agent import Agent, Source
-from sorrelfront.daemon import ephemeral, logs
+from sorrelfront.daemon import logs
 from sorrelfront.daemon.channel import BadMessage, Message, receive, send
 from sorrelfront.daemon.door import Door
 from sorrelfront.daemon.fellow import Fellow
@@ -39,13 +39,13 @@
 from sorrelfront.platform.config import BadConfig, parse
 from sorrelfront.signals import ignore_from_here, on_signal
 from sorrelfront.sources import registry
-from sorrelfront.sources.zookeeper import Ephemeral
 from sorrelfront.terms import Config
 from sorrelfront.upstreams.http1 import Upstream
 
 if TYPE_CHECKING:
     from sorrelfront.daemon.border import Frontier
     from sorrelfront.daemon.policies import Governed, Policy
+    from sorrelfront.sources.zookeeper import Ephemeral
 
 log = logging.getLogger("sorrelfront.instance")
 
@@ -382,6 +382,8 @@
         if self._table.get("source") == "fixed":
             return FixedList(config, update)
         if self._table.get("source") == "zookeeper":
+            from sorrelfront.daemon import ephemeral
+
             terms = ephemeral.terms(self._table["zookeeper"])
             self._ephemeral = ephemeral.made(terms, config, self._answering, update, self._sit)
             return self._ephemeral
@@ -393,6 +395,8 @@
         if table.get("source") != self._table.get("source"):
             raise BadConfig("membership.source takes a restart")
         if self._ephemeral is not None:
+            from sorrelfront.daemon import ephemeral
+
             self._ephemeral.change(ephemeral.terms(table["zookeeper"]))
         if self._fellow is not None and table.get("fleet") is not None:
             self._fellow.change(table["fleet"])
--- a/sorrelfront/fleet/carrier.py
+++ b/sorrelfront/fleet/carrier.py
@@ -253,7 +253,8 @@
                 "incarnation": told.incarnation, "by": told.by, "address": "{}:{}".format(*told.address),
             }
         )  # fmt: skip
-        log.log(LEVELS.get(told.what, logging.INFO), WORDS[told.what], told.name, extra={"member": told.name})
+        about = {"member": told.name, "by": told.by}
+        log.log(LEVELS.get(told.what, logging.INFO), WORDS[told.what], told.name, extra=about)
 
     def _schedule(self) -> None:
         if self._closed or self._sock is None:
