An instance asked to be adopted is not killed for a pause of the one that asks

A supervisor that starts anew asks all that it finds and kills who does not answer in hang_after_ms. A host suspended in that moment cost every instance. The wait is counted in steps of 0.1 s, of which a pause takes one. The test fails without it (TimeoutError).

--- a/sorrelfront/daemon/adopting.py
+++ b/sorrelfront/daemon/adopting.py
@@ -22,6 +22,7 @@
 log = logging.getLogger("sorrelfront.daemon")
 
 ADOPT_WITHIN_S = 2.0  # for one that has just said who it is
+STEP_S = 0.1  # of a wait: the most that is counted of a time in which this program stood still
 SOCKETS_MOST = 40  # listening sockets that one instance may hand over
 
 
@@ -59,20 +60,27 @@
 
 
 async def receive_within(sock: socket.socket, within_s: float) -> tuple[Message, list[int]] | None:
-    """The next message, waited for; None at the peer's end. Raises BadMessage, TimeoutError."""
-    loop = asyncio.get_running_loop()
-    async with asyncio.timeout(within_s):
-        while True:
-            try:
-                return receive(sock)
-            except BlockingIOError:
-                pass
-            readable = asyncio.Event()
-            loop.add_reader(sock.fileno(), readable.set)
-            try:
-                await readable.wait()
-            finally:
-                loop.remove_reader(sock.fileno())
+    """The next message, waited for; None at the peer's end. Raises BadMessage, TimeoutError.
+
+    Waited for in steps. Risk: who stood still together with its peer, on a host that was suspended, would
+    find the time over on waking, and kill a peer that answers in the next moment.
+    """
+    loop, left_s = asyncio.get_running_loop(), within_s
+    while True:
+        try:
+            return receive(sock)
+        except BlockingIOError:
+            if left_s <= 0:
+                raise TimeoutError from None
+        readable, step_s, began = asyncio.Event(), min(left_s, STEP_S), loop.time()
+        loop.add_reader(sock.fileno(), readable.set)
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(step_s):
+                    await readable.wait()
+        finally:
+            loop.remove_reader(sock.fileno())
+        left_s -= min(step_s, loop.time() - began)
 
 
 def _split(path: Path) -> tuple[str, int]:
--- a/tests/daemon/test_channel.py
+++ b/tests/daemon/test_channel.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import array
+import asyncio
 import os
 import socket
+import time
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from sorrelfront.daemon.adopting import receive_within
 from sorrelfront.daemon.channel import MESSAGE_MOST, PACKET_MOST, BadMessage, pair, receive, send
 
 
@@ -69,3 +72,21 @@
         except BadMessage:
             return
         assert got is not None and isinstance(got[0], dict) and not got[1]
+
+
+def test_a_pause_of_this_process_is_not_the_peers_silence() -> None:
+    async def play() -> None:
+        ours, theirs = pair()
+        with ours, theirs:
+            waiting = asyncio.create_task(receive_within(ours, 0.5))
+            await asyncio.sleep(0)
+            time.sleep(0.7)  # the fault itself: the peer stood still as well
+            await asyncio.sleep(0.05)
+            assert send(theirs, {"op": "hello"})
+            assert await waiting == ({"op": "hello"}, [])
+            with pytest.raises(TimeoutError):
+                await receive_within(ours, 0.05)
+            theirs.close()
+            assert await receive_within(ours, 0.5) is None
+
+    asyncio.run(play())
