--- a/test.sh
+++ b/test.sh
@@ -14,4 +14,4 @@
 export PYTHONPYCACHEPREFIX=$PWD/.venv/pycache
 .venv/bin/ruff check .
 .venv/bin/mypy
-.venv/bin/python -m pytest -q -p no:cacheprovider -n 6 --dist worksteal
+.venv/bin/python -m pytest -q -p no:cacheprovider -n 5 --dist worksteal
