Logs of discovery calls, list changes, and why requests and connections end

The log of the reported break did not tell when a call to discovery was opened, accepted or answered, at which moment a server was withdrawn, nor why a request was refused, retried or a connection closed. Now: one line for each step of a call, one for each change of the list that withdraws servers, a summary every 5 s of closes, retries and refusals by reason with the latest request's id, and the monotonic time beside the wall clock's. The two programs share one limit on records of a kind, counted by place: a peer that fails fast no longer pushes out what others have to say.

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -13,6 +13,7 @@
 from sorrelfront.decisions import interface as api
 from sorrelfront.decisions.balancer import Balancer
 from sorrelfront.decisions.orders import Orders
+from sorrelfront.events import Event, EventCounter
 from sorrelfront.lists import Directory
 from sorrelfront.messages import Address, Answer, Call, Ended, Failed, Final, Refused, Update
 from sorrelfront.net.budget import STREAM_MOST
@@ -29,6 +30,7 @@
 UPLOAD_RATE_LEAST = 16_000
 # When all places for requests are taken; about how long a request holds one.
 FULL_RETRY_AFTER_US = 500_000
+NAMES_SHOWN = 8  # servers that one line of the log names
 
 E = TypeVar("E")
 
@@ -90,13 +92,14 @@
 class Held:
     """A request that is owed its final answer."""
 
-    __slots__ = ("answer", "attempts", "call", "id", "overdue", "told")
+    __slots__ = ("answer", "attempts", "call", "id", "outcome", "overdue", "told")
 
     def __init__(self, number: int, call: Call, answer: asyncio.Future[Final]) -> None:
         self.id = number
         self.call = call
         self.answer = answer
         self.attempts = 0
+        self.outcome: api.Outcome | None = None  # of the attempt that ended last
         self.overdue: asyncio.TimerHandle | None = None
         self.told: Callable[[], None] | None = None  # called once the answer is there, in the same step
 
@@ -116,9 +119,14 @@
         answer.stream.close()
 
 
+def _id(call: Call) -> str:
+    """The request's id, as its client named it."""
+    return call.client_id.decode("latin-1")[:64]
+
+
 def _about(call: Call) -> dict[str, str]:
     """Fields of a log event about this call."""
-    return {"class": call.class_name, "call": call.client_id.decode("latin-1")[:64]}
+    return {"class": call.class_name, "call": _id(call)}
 
 
 class Agent:
@@ -143,6 +151,7 @@
         self._closed = False
         self._count = 0
         self.tallies = {name: Tally() for name in self._classes}
+        self.events = EventCounter()
 
     @property
     def served(self) -> int:
@@ -237,6 +246,7 @@
         held = Held(self._count, call, self._loop.create_future())
         if len(self._held) >= self._config.most_held:
             self.tallies[call.class_name].refused += 1
+            self.events.add(Event.REFUSED, api.EndReason.UNSENT, _id(call))
             held.answer.set_result(Refused(FULL_RETRY_AFTER_US))
             return held
         self._held[held.id] = held
@@ -288,7 +298,12 @@
         self._apply(update._replace(backends=self._orders.heard(update.backends, update.complete)), kind)
 
     def _apply(self, update: Update, kind: api.ListKind) -> None:
-        for address in self._directory.apply(update):
+        withdrawn = self._directory.apply(update)
+        if withdrawn:
+            names = ", ".join(sorted(withdrawn)[:NAMES_SHOWN])
+            log.info("list %d (%s): nothing new goes to %d of the servers: %s", update.revision, kind.value,
+                     len(withdrawn), names)  # fmt: skip
+        for address in withdrawn.values():
             self._upstream.forget(address)
         self._tell(self.balancer.on_list, api.BackendList(kind, update.backends))
 
@@ -342,9 +357,11 @@
                     continue
                 case api.Send():
                     self._send(action)
-                case api.Refuse(request_id, retry_after_us):
+                case api.Refuse(request_id, retry_after_us, reason):
+                    self._count_end(Event.REFUSED, reason, request_id)
                     self._answer(request_id, Refused(retry_after_us))
-                case api.Fail(request_id):
+                case api.Fail(request_id, reason):
+                    self._count_end(Event.FAILED, reason, request_id)
                     self._answer(request_id, Failed())
                 case api.CancelAttempt(request_id, attempt):
                     task = self._running.get((request_id, attempt))
@@ -357,6 +374,11 @@
                         self._source.subscribe()
                     self._early = False
 
+    def _count_end(self, event: Event, reason: api.EndReason, request_id: int) -> None:
+        held = self._held.get(request_id)
+        if held is not None:
+            self.events.add(event, reason, _id(held.call))
+
     def _answer(self, request_id: int, answer: Final) -> None:
         held = self._held.get(request_id)
         if held is not None:
@@ -406,6 +428,8 @@
         if held is None:
             log.error("an attempt for request %d, which is not held", action.request_id)
             return
+        if held.outcome is not None:
+            self.events.add(Event.RETRIED, held.outcome, _id(held.call))
         key = (held.id, held.attempts)
         held.attempts += 1
         started = self.now()
@@ -484,7 +508,9 @@
         # Risk: a peer that writes its answer slowly, piece by piece, passes for one with a queue, and what
         # would be served in time is refused. What was waited for is the answer's first byte.
         waited_us = max(0, elapsed_us - ended.tail_us)
-        outcome = ended.outcome
+        outcome = held.outcome = ended.outcome
+        if outcome is not api.Outcome.OK:
+            self.events.add(Event.ATTEMPT, outcome, _id(held.call))
         if outcome is api.Outcome.UNREACHABLE and held.id not in self._held:
             # Risk: a server is shut as unreachable since nothing was begun for a client that had left. Harm:
             # one that could not be reached in fact shows by the next attempt.
--- a/sorrelfront/daemon/logs.py
+++ b/sorrelfront/daemon/logs.py
@@ -8,41 +8,15 @@
 
 import logging
 import sys
-import time
-from collections.abc import Callable
 from datetime import datetime
 from typing import Any, TextIO
 
 import msgspec
 from pythonjsonlogger.msgspec import MsgspecFormatter
 
-SPAN_S = 10.0
-BURST = 20  # events of one kind in a span. Risk: a peer that fails fast fills a disk with its failures
-KINDS_MOST = 512  # kinds that are counted; further ones share a count
-FIELDS = ("instance", "run", "generation", "server", "class", "call")  # shown in this order
-
-
-class Sparse(logging.Filter):
-    """Passes so many events of one kind (a place in the code) in a span, and tells with the next one of
-    that kind how many it has left out."""
+from sorrelfront.log_limits import RateLimit
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
-        super().__init__()
-        self._clock = clock
-        self._kinds: dict[tuple[str, int], tuple[float, int]] = {}  # since when, and how many
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        kind = (record.pathname, record.lineno)
-        if kind not in self._kinds and len(self._kinds) >= KINDS_MOST:
-            kind = ("", 0)
-        now = self._clock()
-        began, count = self._kinds.get(kind, (now, 0))
-        if now - began >= SPAN_S:
-            if count > BURST:
-                record.left_out = count - BURST
-            began, count = now, 0
-        self._kinds[kind] = (began, count + 1)
-        return count < BURST
+FIELDS = ("instance", "run", "generation", "server", "class", "call")  # shown in this order
 
 
 class Json(MsgspecFormatter):
@@ -98,7 +72,7 @@
     if form == "auto":
         form = "text" if out.isatty() else "json"
     handler = logging.StreamHandler(out)
-    handler.addFilter(Sparse())
+    handler.addFilter(RateLimit())
     handler.setFormatter(Text(bound) if form == "text" else Json(bound))
     root = logging.getLogger()
     for old in [*root.handlers]:
--- a/sorrelfront/decisions/balancer.py
+++ b/sorrelfront/decisions/balancer.py
@@ -452,8 +452,10 @@
         if held.open:
             return []
         # Risk: a retry storm. What cannot be paid from the budget ends here.
-        if self.retries < 1.0 or event.outcome is api.Outcome.UNSENT:
-            return self._end(held)
+        if event.outcome is api.Outcome.UNSENT:
+            return self._end(held, api.EndReason.UNSENT)
+        if self.retries < 1.0:
+            return self._end(held, api.EndReason.RETRY_BUDGET)
         self.retries -= 1.0
         return self._place(held, now)
 
@@ -510,14 +512,16 @@
     def _place(self, held: Held, now: int) -> list[api.Action]:
         """Send the request, hold it until a server is known, or end it."""
         left_us = held.request.deadline_us - now
-        if left_us <= 0 or held.attempts >= self.settings.max_attempts:
-            return self._end(held)
+        if left_us <= 0:
+            return self._end(held, api.EndReason.DEADLINE)
+        if held.attempts >= self.settings.max_attempts:
+            return self._end(held, api.EndReason.MAX_ATTEMPTS)
         if not self.ready and not held.attempts:
             # No server is known: hold while an answer could still make its aim, and not longer. No outcome
             # will wake a held request, so a timer. Risk: it would be lost.
             hold_us = min(left_us, held.arrived + held.cls.aim_us - now)
             if hold_us <= 0:
-                return self._end(held)
+                return self._end(held, api.EndReason.NO_BACKEND)
             return [api.SetTimer(min(hold_us, max(1, held.cls.aim_us // 8)), str(held.request.id))]
         pool = self._allowed(held, now)
         if held.tried:
@@ -525,14 +529,16 @@
             # other is left the same may be tried again.
             pool = [server for server in pool if server not in held.tried] or pool
         server = self._pick(pool, held, now)
+        reason = api.EndReason.UNAVAILABLE if pool else api.EndReason.MAY_HAVE_RUN
         if server is not None and self._hopeless(held, server, now):
+            reason = api.EndReason.INFEASIBLE
             # While no more come late than tolerated, suspect the pair and not the fleet: one pair more.
             calm = self.late.read(now) < LATE + held.cls.late_worth
             server = self._pick(pool, held, now) if calm else None
             if server is not None and self._hopeless(held, server, now):
                 server = None
         if server is None:
-            return self._end(held)
+            return self._end(held, reason)
         key = (held.request.id, held.attempts)
         self.attempts[key] = (server, held.units, held.cls, len(server.pending))
         self.sent_at = now
@@ -637,7 +643,7 @@
         hardly be served in time at rest is sent all the same."""
         return max(cls.aim_us - self.baselines[cls.name].value, ROOM_LEAST * cls.aim_us)
 
-    def _end(self, held: Held) -> list[api.Action]:
+    def _end(self, held: Held, reason: api.EndReason) -> list[api.Action]:
         """The final answer. A refusal says that a retry does no harm: only where no attempt may have run,
         or where the repeat is dropped or borne by every server."""
         del self.held[held.request.id]
@@ -645,8 +651,8 @@
         everywhere = cls.effect is api.Effect.KEYED and cls.scope is api.Scope.ALL
         if not held.risky or cls.effect is api.Effect.SAFE or everywhere:
             stay_away_us = min(self.settings.max_retry_after_us, int(cls.aim_us * COME_BACK))
-            return [api.Refuse(held.request.id, stay_away_us)]
-        return [api.Fail(held.request.id)]
+            return [api.Refuse(held.request.id, stay_away_us, reason)]
+        return [api.Fail(held.request.id, reason)]
 
     def _cancel(self, held: Held) -> list[api.Action]:
         """Call off what is still out for a finished request."""
--- a/sorrelfront/decisions/interface.py
+++ b/sorrelfront/decisions/interface.py
@@ -1,13 +1,14 @@
 """What goes into and comes out of a Balancer: settings, events, actions and outcomes.
 
 Every time is an integer number of microseconds (`_us`). The hot events and actions are NamedTuples
-because one is built for each request; settings are frozen dataclasses because they are checked once.
+because one is built for each request; settings are frozen dataclasses because they are checked once, and
+final answers because their reason is for the log and takes no part in comparisons.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, fields
-from enum import Enum
+from dataclasses import dataclass, field, fields
+from enum import Enum, StrEnum
 from typing import NamedTuple
 
 
@@ -182,17 +183,34 @@
     begin_before_us: int
 
 
-class Refuse(NamedTuple):
+class EndReason(StrEnum):
+    """Why a request got its final answer without having been served."""
+
+    DEADLINE = "deadline"  # no time is left
+    MAX_ATTEMPTS = "max-attempts"
+    NO_BACKEND = "no-backend"  # the list is empty, and no time is left to wait for another
+    UNAVAILABLE = "unavailable"  # no backend that it may go to takes anything now
+    MAY_HAVE_RUN = "may-have-run"  # an attempt may have run, and it may not be sent again
+    INFEASIBLE = "infeasible"  # an answer in time is not to be expected
+    RETRY_BUDGET = "retry-budget"
+    UNSENT = "unsent"  # this process has no room for an attempt
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
     """A final answer that promises a retry does no harm."""
 
     request_id: int
     retry_after_us: int
+    reason: EndReason = field(default=EndReason.UNAVAILABLE, compare=False)
 
 
-class Fail(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class Fail:
     """A final answer that promises nothing."""
 
     request_id: int
+    reason: EndReason = field(default=EndReason.UNAVAILABLE, compare=False)
 
 
 class CancelAttempt(NamedTuple):
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -13,6 +13,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from enum import StrEnum
 from functools import partial
 from itertools import chain, islice
 from typing import Protocol
@@ -22,6 +23,7 @@
 
 from sorrelfront.agent import UPLOAD_RATE_LEAST, Agent, Held, close
 from sorrelfront.decisions.interface import Effect, RequestClass
+from sorrelfront.events import Event
 from sorrelfront.messages import Address, Answer, Call, Final, Headers, Refused, Stream
 from sorrelfront.net.bodies import Upload
 from sorrelfront.net.budget import BODY_MOST, STREAM_MOST, BodyBudget, BodyShare, Descriptors
@@ -85,6 +87,27 @@
     def headers(self) -> Iterable[tuple[bytes, bytes]]: ...
 
 
+class CloseReason(StrEnum):
+    """Why a connection of a client's was closed."""
+
+    CLIENT = "client-closed"
+    BROKEN = "client-broken"  # what it sends cannot be followed any more
+    IDLE = "idle-timeout"
+    EVICTED = "evicted"  # for one that has just come
+    CROWDED = "crowded"  # clients hold nearly all connections that they may
+    DRAINING = "draining"
+    GOING_AWAY = "going-away"
+    ANSWERED_LAST = "answered-last"
+
+
+class RejectReason(StrEnum):
+    """Why a request was answered before it was taken."""
+
+    INCOMPLETE = "incomplete"  # it did not come whole in time
+    NO_ROOM = "no-room"
+    GOING_AWAY = "going-away"
+
+
 class _Gone(Exception):
     """The client has closed its connection."""
 
@@ -262,7 +285,7 @@
 
     def _end_resting(self) -> None:
         for client in [*self._silent, *self._resting]:
-            client.end()
+            client.end(CloseReason.GOING_AWAY)
 
     async def _sweep(self) -> None:
         """End those who have had their time. One timer for all: a timer for each read would cost more."""
@@ -278,6 +301,7 @@
             if self._drained_at is not None and not self.closing:
                 self._end_drained(now - GOING_AWAY_S)
             self._relieve()
+            self.agent.events.report()
 
     def _end_drained(self, before: float) -> None:
         """End those that have rested since before this time, and since the drain was asked for. Risk: ended
@@ -286,7 +310,7 @@
             return
         for client in [*self._silent, *self._resting]:
             if client.since <= before:
-                client.end()
+                client.end(CloseReason.DRAINING)
 
     # Accepting
 
@@ -344,12 +368,12 @@
         hold their places for that moment longer."""
         begun = None
         for client in chain(self._silent, self._resting):
-            if client.end():
+            if client.end(CloseReason.EVICTED):
                 return True
             if begun is None and client.unfinished:
                 begun = client
         if begun is not None:
-            begun.turn_away(503, "no room for a request that comes so slowly")
+            begun.turn_away(503, "no room for a request that comes so slowly", RejectReason.NO_ROOM)
         return False
 
     def _relieve(self) -> None:
@@ -362,7 +386,7 @@
         for client in [*islice(self._resting, max(0, -spare))]:
             if client.rested(now) < REST_S:
                 return
-            client.end()
+            client.end(CloseReason.CROWDED)
 
     # What clients report
 
@@ -446,7 +470,7 @@
         """Whether part of a request has come, and is owed an answer once no more of it is waited for."""
         return self._begun and not self._turns and not self._deaf and self._upload is None
 
-    def end(self) -> bool:
+    def end(self, reason: CloseReason) -> bool:
         """Close if it is owed nothing and nothing of a request has come. Whether it is closed.
 
         Look and close are one step. Risk: what came between them would be read, and dropped with the
@@ -462,6 +486,7 @@
             self.wire.shutdown(socket.SHUT_WR)
             crossed = not self.wire.quiet()
         self.wire.close(abort=crossed)
+        self._agent.events.add(Event.CLOSED, reason)
         self.cancel()
         self._listener.ended(self)
         return True
@@ -481,9 +506,9 @@
         elif self._turns:
             return
         elif self._begun:
-            self.turn_away(408, "the request did not come whole in time")
+            self.turn_away(408, "the request did not come whole in time", RejectReason.INCOMPLETE)
         else:
-            self.end()
+            self.end(CloseReason.IDLE)
 
     def give_up(self) -> None:
         """Answer at once whatever is owed: what was taken as failed, what has not come whole as refused."""
@@ -491,10 +516,11 @@
             if turn.held is not None:
                 self._agent.fail(turn.held)
         if self.unfinished:
-            self.turn_away(503, "going away")
+            self.turn_away(503, "going away", RejectReason.GOING_AWAY)
 
-    def turn_away(self, status: int, text: str) -> None:
+    def turn_away(self, status: int, text: str, reason: RejectReason) -> None:
         """Answer a request that has not come whole, as the last; what still comes of it is read past."""
+        self._agent.events.add(Event.REFUSED, reason)
         self._deaf = True
         self._push_text(None, status, text, last=True)
 
@@ -525,9 +551,17 @@
         for turn in self._turns:
             self._drop(turn)
         self._turns.clear()
+        if not self.wire.closed:
+            self._agent.events.add(Event.CLOSED, self._close_reason())
         self.wire.close(self._abort)
         self._listener.ended(self)
 
+    def _close_reason(self) -> CloseReason:
+        """Why this connection ends, where its task has come to its end by itself."""
+        if self._abort:
+            return CloseReason.BROKEN
+        return CloseReason.ANSWERED_LAST if self._answered_last else CloseReason.CLIENT
+
     def _drop(self, turn: _Turn) -> None:
         """The client will not have this answer."""
         if turn.share is not None:
--- a/sorrelfront/lists.py
+++ b/sorrelfront/lists.py
@@ -72,9 +72,9 @@
         self._addresses: dict[str, Address] = {}
         self._ready: dict[str, int] = {}  # and when each started
 
-    def apply(self, update: Update) -> set[Address]:
-        """Take on what discovery says. Returns the addresses of processes that want nothing new: they drain,
-        are gone, or have been started anew."""
+    def apply(self, update: Update) -> dict[str, Address]:
+        """Take on what discovery says. Returns the processes that want nothing new, by server, with their
+        addresses: they drain, are gone, or have been started anew."""
         addresses, ready = self._addresses, self._ready
         if update.complete:
             self._addresses, self._ready = {}, {}
@@ -89,7 +89,7 @@
             if backend.state is api.State.GONE:
                 self._addresses.pop(backend.id, None)
         return {
-            addresses[name]
+            name: addresses[name]
             for name, started_us in ready.items()
             if self._ready.get(name) != started_us or self._addresses.get(name) != addresses[name]
         }
--- a/sorrelfront/platform/__main__.py
+++ b/sorrelfront/platform/__main__.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 from sorrelfront.agent import Agent
+from sorrelfront.log_limits import RateLimit
 from sorrelfront.messages import Address
 from sorrelfront.net.budget import Descriptors
 from sorrelfront.platform.config import BadConfig, load
@@ -27,27 +28,21 @@
 
 log = logging.getLogger("sorrelfront")
 
-LOG_SPAN_S = 10.0
-LOG_MOST = 20  # lines in a span. Risk: a log that grows with every failure, where files are memory
 
+class MonotonicFormatter(logging.Formatter):
+    """Lines that tell the monotonic time too, in seconds: where the two clocks part, the wall clock was set.
 
-class Sparse(logging.Filter):
-    """Passes so many lines in a span, and tells how many it left out."""
+    A record whose like were left out before it (`RateLimit`) says how many.
+    """
 
     def __init__(self) -> None:
-        super().__init__()
-        self._began = 0.0
-        self._count = 0
+        super().__init__("%(asctime)s [%(monotonic).3f] %(levelname)s %(name)s: %(message)s")
 
-    def filter(self, record: logging.LogRecord) -> bool:
-        now = time.monotonic()
-        if now - self._began > LOG_SPAN_S:
-            left_out = self._count - LOG_MOST
-            if left_out > 0:
-                record.msg = f"{record.msg} ({left_out} lines before it were left out)"
-            self._began, self._count = now, 0
-        self._count += 1
-        return self._count <= LOG_MOST
+    def format(self, record: logging.LogRecord) -> str:
+        record.monotonic = time.monotonic()
+        text = super().format(record)
+        left_out = getattr(record, "left_out", 0)
+        return f"{text} ({left_out} such lines before it were left out)" if left_out else text
 
 
 def reload(environ: Mapping[str, str], service: Service) -> None:
@@ -95,6 +90,11 @@
     except OSError as fault:
         raise _cannot_listen("listen", config.listen, fault) from None
     on_signal(signal.SIGHUP, partial(reload, os.environ, service))
+    log.info(
+        "%s: list %d of %d servers known, asks within %.3f s, drain grace %.3f s",
+        config.name, config.known.revision, len(config.known.backends),
+        config.settings.ask_within_us / 1e6, config.settings.drain_grace_us / 1e6,
+    )  # fmt: skip
     log.info(
         "%s: %d MB, %d descriptors, settings %s",
         config.name, config.memory_bytes >> 20, config.sockets, config.settings,
@@ -110,12 +110,9 @@
 def main() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload; left alone, it kills
     handler = logging.StreamHandler()
-    handler.addFilter(Sparse())
-    logging.basicConfig(
-        level=logging.INFO,
-        format="%(asctime)s %(levelname)s %(name)s: %(message)s",
-        handlers=[handler],
-    )
+    handler.addFilter(RateLimit())
+    handler.setFormatter(MonotonicFormatter())
+    logging.basicConfig(level=logging.INFO, handlers=[handler])
     # What is loaded by now stays. Risk: exceptions and tasks make cycles, and one that is looked for too
     # seldom keeps buffers and bodies with it; a full collection of the rest takes a few milliseconds. Ten by
     # ten rounds would come once in four minutes of rough clients: what outlives two stays as long.
--- a/sorrelfront/sources/registry.py
+++ b/sorrelfront/sources/registry.py
@@ -101,6 +101,7 @@
         self._watch: asyncio.Task[None] | None = None
         self._earlier: asyncio.Task[None] | None = None  # at the address before the last move
         self._again: asyncio.TimerHandle | None = None
+        self._calls = 0  # opened so far, for the log
 
     def subscribe(self) -> None:
         """Ask for changes from here on, in place of any earlier watch."""
@@ -141,29 +142,38 @@
 
     async def _run(self) -> None:
         call = self.clock.opened(now_us())
+        self._calls += 1
+        number = self._calls
         silent = spoilt = False
+        end = "its end"
+        log.info("watch %d: opened at %s:%d after revision %d", number, *self._address, self._after)
         try:
-            await self._follow(self._address, call)
-            log.warning("the watch ended")
+            await self._follow(self._address, call, number)
         except _Spoilt as fault:
             spoilt = True
-            log.warning("the watch is opened anew: %s", fault)
+            end = str(fault)
         except (OSError, h11.ProtocolError, Malformed) as fault:
             silent = isinstance(fault, TimeoutError)
-            log.warning("the watch broke: %s: %s", type(fault).__name__, fault)
+            end = f"{type(fault).__name__}: {fault}"
         except Exception:
+            end = "a fault of this program"
             log.exception("the watch failed")
+        log.warning("watch %d: broke after %.3f s, %.3f s after its last line: %s", number,
+                    (now_us() - call.opened) / 1e6, (now_us() - call.since) / 1e6, end)  # fmt: skip
         if asyncio.current_task() is self._earlier:
             self._earlier = None  # it was to end; the watch that took its place goes on
             return
         self._watch = None
         wait_us = 0 if spoilt else self.clock.ended(call, now_us(), silent)
+        log.info("watch %d: %s", number,
+                 "the back-off says when the next one is opened" if wait_us is None
+                 else f"the next one is opened in {wait_us / 1e6:.3f} s")  # fmt: skip
         if wait_us is None:
             self._on_failure()
         else:
             self._again = asyncio.get_running_loop().call_later(wait_us / 1e6, self.subscribe)
 
-    async def _follow(self, address: Address, call: Call) -> None:
+    async def _follow(self, address: Address, call: Call, number: int) -> None:
         loop = asyncio.get_running_loop()
         wire = Wire(socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK))
         try:
@@ -176,11 +186,11 @@
                 headers=[("Host", "{}:{}".format(*address))],
             )
             await wire.send(frame(parser, request, h11.EndOfMessage()), _left_s(call))
-            await self._read(parser, wire, call)
+            await self._read(parser, wire, call, number)
         finally:
             wire.close()
 
-    async def _read(self, parser: h11.Connection, wire: Wire, call: Call) -> None:
+    async def _read(self, parser: h11.Connection, wire: Wire, call: Call, number: int) -> None:
         """Only whole lines count. Risk: a watch that falls silent and stays open would hide every drain."""
         partial, texts = bytearray(), Texts()
         while True:
@@ -191,10 +201,11 @@
                 if event.status_code != 200:
                     raise Malformed(f"status {event.status_code}")
                 call.began(now_us())
+                log.info("watch %d: accepted after %.3f s", number, (now_us() - call.opened) / 1e6)
             elif isinstance(event, h11.Data):
                 *lines, rest = event.data.split(b"\n")
                 for line in lines:
-                    self._line(bytes(partial + line), texts, call)
+                    self._line(bytes(partial + line), texts, call, number)
                     partial.clear()
                 partial += rest
                 if len(partial) > TEXT_MOST:
@@ -202,7 +213,7 @@
             elif not isinstance(event, h11.InformationalResponse):
                 return
 
-    def _line(self, line: bytes, texts: Texts, call: Call) -> None:
+    def _line(self, line: bytes, texts: Texts, call: Call, number: int) -> None:
         """Take one line. Raises _Spoilt, so that the call is made anew after the last good update."""
         self.clock.line(call, now_us())
         if self._earlier is not None and asyncio.current_task() is not self._earlier:
@@ -219,6 +230,9 @@
             self._missed = False
         if not self._missed:
             self._after = update.revision
+        log.info("watch %d: list %d (%s), %d entries, after %.3f s", number, update.revision,
+                 "whole" if update.complete else "changes", len(update.backends),
+                 (now_us() - call.opened) / 1e6)  # fmt: skip
         self._on_update(update)
 
     def _spoilt(self, fault: Exception) -> None:
--- a/tests/daemon/test_logs.py
+++ b/tests/daemon/test_logs.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from sorrelfront.daemon import logs
-from sorrelfront.daemon.logs import BURST, SPAN_S, Sparse, configure
+from sorrelfront.daemon.logs import configure
+from sorrelfront.log_limits import BURST, MAX_KINDS, SPAN_S, RateLimit
 
 log = logging.getLogger("sorrelfront.test")
 
@@ -64,7 +64,7 @@
 
 def test_one_place_is_bounded_others_are_not_and_what_was_left_out_is_counted() -> None:
     now = 0.0
-    filtered = Sparse(lambda: now)
+    filtered = RateLimit(lambda: now)
 
     def record(line: int) -> logging.LogRecord:
         return logging.LogRecord("n", logging.INFO, "place.py", line, "said", (), None)
@@ -76,6 +76,6 @@
     later = record(1)
     assert filtered.filter(later) and later.__dict__["left_out"] == 30
     assert "left_out" not in record(2).__dict__
-    for line in range(10 * logs.KINDS_MOST):  # a bound on what is counted, too
+    for line in range(10 * MAX_KINDS):  # a bound on what is counted, too
         filtered.filter(record(line))
-    assert len(filtered._kinds) <= logs.KINDS_MOST + 1
+    assert len(filtered._kinds) <= MAX_KINDS + 1
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,29 @@
+"""What is counted and told of requests and connections that end."""
+
+from __future__ import annotations
+
+import logging
+
+import pytest
+
+from sorrelfront.decisions.interface import EndReason, Outcome
+from sorrelfront.events import SPAN_S, Event, EventCounter
+
+
+def test_one_line_for_a_span_tells_each_reason_its_count_and_the_latest_request(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    now = 0.0
+    events = EventCounter(lambda: now)
+    for number in range(3):
+        events.add(Event.REFUSED, EndReason.INFEASIBLE, f"r{number}")
+    events.add(Event.RETRIED, Outcome.RESET)
+    events.report()
+    assert not caplog.messages
+    now = SPAN_S
+    events.report()
+    assert caplog.messages == ["in 5.0 s: refused infeasible 3 (last r2); retried reset 1"]
+    now = 2 * SPAN_S
+    events.report()
+    assert len(caplog.messages) == 1
--- a/tests/test_floors.py
+++ b/tests/test_floors.py
@@ -12,7 +12,7 @@
 FLOORS = [
     ["errors"],
     ["decisions"],
-    ["messages", "lists", "terms", "signals"],
+    ["events", "log_limits", "messages", "lists", "terms", "signals"],
     ["net"],
     ["agent"],
     ["fronts", "upstreams", "sources"],
