Failing tests: slow start by a wall clock that is an hour off; shims for clocks and calls

Found beside the incident, with the machines' stepped clocks in mind. Our clock an hour behind: every server of the list counts as one that has just started, for an hour, and half of the requests or more are refused. An hour ahead: a server whose start is told on the watch gets a fair share at once, 59 of 300 where at most 15 are allowed.

--- /dev/null
+++ b/sorrelfront/lab/faults/system_calls.c
@@ -0,0 +1,148 @@
+/* Lets system calls of one process fail, as they do in production.
+ *
+ * Loaded with LD_PRELOAD. SYSTEM_CALLS_PAGE names a file that holds `struct page`: what fails how often may change
+ * at any moment, and each fault injected is counted there. Only IPv4 stream sockets are touched, so that what the
+ * program's own parts say to each other goes on. Randomness is a linear congruential generator, seeded there. */
+
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum call { ACCEPT, SOCKET, CONNECT, POLL, SHORT_READ, SHORT_WRITE, BROKEN, CALLS };
+
+#define MILLION 1000000U
+#define SHORT_BYTES 7U /* at most, of a short read or write */
+
+struct fault {
+    volatile uint32_t chance; /* in a million calls */
+    uint32_t hits;
+};
+
+struct page {
+    uint64_t state;
+    struct fault faults[CALLS];
+};
+
+static struct page *page;
+
+#define REAL(name) \
+    static __typeof__(&name) real; \
+    if (!real) \
+        real = (__typeof__(&name))dlsym(RTLD_NEXT, #name)
+
+__attribute__((constructor)) static void start(void)
+{
+    const char *path = getenv("SYSTEM_CALLS_PAGE");
+    int fd = path ? open(path, O_RDWR | O_CLOEXEC) : -1;
+    if (fd < 0)
+        return;
+    void *mapped = mmap(NULL, sizeof(struct page), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+    close(fd);
+    if (mapped != MAP_FAILED)
+        page = mapped;
+}
+
+static uint32_t draw(uint32_t below)
+{
+    page->state = page->state * 6364136223846793005ULL + 1442695040888963407ULL;
+    return (uint32_t)(page->state >> 33) % below;
+}
+
+static int hit(enum call call)
+{
+    if (!page || !page->faults[call].chance || draw(MILLION) >= page->faults[call].chance)
+        return 0;
+    page->faults[call].hits++;
+    return 1;
+}
+
+static int is_ipv4(int fd)
+{
+    int domain = 0;
+    socklen_t length = sizeof domain;
+    int saved = errno;
+    int known = getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &length);
+    errno = saved;
+    return !known && domain == AF_INET;
+}
+
+static int fail(const int *errors, uint32_t count)
+{
+    errno = errors[draw(count)];
+    return -1;
+}
+
+int accept4(int fd, struct sockaddr *restrict address, socklen_t *restrict length, int flags)
+{
+    static const int errors[] = {ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM, EINTR};
+    REAL(accept4);
+    if (page && is_ipv4(fd) && hit(ACCEPT))
+        return fail(errors, 6);
+    return real(fd, address, length, flags);
+}
+
+int socket(int domain, int type, int protocol)
+{
+    static const int errors[] = {ENFILE, EMFILE, ENOBUFS, ENOMEM};
+    REAL(socket);
+    if (domain == AF_INET && hit(SOCKET))
+        return fail(errors, 4);
+    return real(domain, type, protocol);
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t length)
+{
+    static const int errors[] = {EADDRNOTAVAIL, ENETUNREACH, EINTR};
+    REAL(connect);
+    if (page && address->sa_family == AF_INET && hit(CONNECT)) {
+        int failed = fail(errors, 3);
+        if (errno == EINTR) { /* it goes on in the background */
+            real(fd, address, length);
+            errno = EINTR;
+        }
+        return failed;
+    }
+    return real(fd, address, length);
+}
+
+int epoll_wait(int fd, struct epoll_event *events, int most, int timeout)
+{
+    REAL(epoll_wait);
+    if (hit(POLL)) {
+        errno = EINTR;
+        return -1;
+    }
+    return real(fd, events, most, timeout);
+}
+
+/* How a connection that is broken shows. */
+static ssize_t broken(ssize_t result)
+{
+    static const int errors[] = {ETIMEDOUT, EHOSTUNREACH};
+    if (result < 0 && (errno == ECONNRESET || errno == EPIPE) && hit(BROKEN))
+        return fail(errors, 2);
+    return result;
+}
+
+ssize_t recv(int fd, void *data, size_t size, int flags)
+{
+    REAL(recv);
+    if (page && size > SHORT_BYTES && !(flags & MSG_PEEK) && is_ipv4(fd) && hit(SHORT_READ))
+        size = 1 + draw(SHORT_BYTES);
+    return broken(real(fd, data, size, flags));
+}
+
+ssize_t send(int fd, const void *data, size_t size, int flags)
+{
+    REAL(send);
+    if (page && size > 1 && is_ipv4(fd) && hit(SHORT_WRITE))
+        size = 1 + draw(size - 1 < SHORT_BYTES ? size - 1 : SHORT_BYTES);
+    return broken(real(fd, data, size, flags));
+}
--- a/tests/programs/test_stale_lists.py
+++ b/tests/programs/test_stale_lists.py
@@ -25,7 +25,8 @@
 
 import pytest
 
-from sorrelfront.lab.faults.wall_clock import WallClock, compiler
+from sorrelfront.lab.faults.shim import compiler
+from sorrelfront.lab.faults.wall_clock import WallClock
 from tests.loopback import PATIENCE_S, Backend, Client, Registry, answer, looped, member, request, table
 from tests.test_process import Program
 
