Slow start is counted from when a start is heard, not from two clocks

Cause: Server.start took started_us, a server's Unix time, for a time on our clock, anchored once to our own wall clock. An hour behind, warm_at lay an hour ahead and no server was fit; an hour ahead, it lay in the past.

A start told while the list is followed counts from when it is heard; of the list that a process begins with, a start counts from its own time, but never later than now.

Left: the first list of a process, told by a clock far behind ours.

--- a/sorrelfront/decisions/balancer.py
+++ b/sorrelfront/decisions/balancer.py
@@ -13,6 +13,7 @@
 
 from sorrelfront.decisions import interface as api
 from sorrelfront.decisions.listing import BackOff
+from sorrelfront.decisions.slow_start import SlowStart
 
 # Latencies are kept as multiples of what is usual for the request's class and cost hint, so none of these
 # is in units of one deployment.
@@ -140,12 +141,12 @@
     __slots__ = ("ahead", "breaker", "decay_us", "estimate", "heard_at", "info", "kind", "mean", "pending",
                  "room", "room_until", "stamp", "warm_at")  # fmt: skip
 
-    def __init__(self, info: api.Backend, kind: Kind, cold_us: int, decay_us: float) -> None:
+    def __init__(self, info: api.Backend, kind: Kind, warm_at: int, decay_us: float) -> None:
         self.decay_us = decay_us
         self.pending: dict[tuple[int, int], tuple[int, float]] = {}  # oldest first: sent at, expected latency
-        self.start(info, kind, cold_us)
+        self.start(info, kind, warm_at)
 
-    def start(self, info: api.Backend, kind: Kind, cold_us: int) -> None:
+    def start(self, info: api.Backend, kind: Kind, warm_at: int) -> None:
         """A new process: what was learnt of the old one does not hold."""
         self.info = info
         self.kind = kind
@@ -155,7 +156,7 @@
         self.heard_at = -1  # its last good answer
         self.room = self.room_until = 0  # what it was seen to hold of ours, and for how long that counts
         self.breaker = CircuitBreaker()
-        self.warm_at = info.started_us + cold_us if info.started_us else 0
+        self.warm_at = warm_at
 
     def fit(self, now: int) -> bool:
         # `open`, written out: it is asked of each server drawn.
@@ -302,6 +303,7 @@
         self.retries = RETRY_BURST
         self.asking = False
         self.back_off = BackOff(self.random)
+        self.slow_start = SlowStart()
 
     def _adopt_classes(self, settings: api.Settings) -> None:
         """Before its first answer a class is taken to need a third of its aim; that answer replaces the
@@ -350,23 +352,31 @@
             # The list held stays in use.
             settings = self.settings
             return self._ask(self.back_off.failed(settings.ask_within_us, settings.drain_grace_us))
-        if event.kind is not api.ListKind.CACHED:
-            self.back_off.heard()
         known, kept = self.servers, self.servers
         if event.kind is not api.ListKind.DELTA:
             kept = self.servers = {}
         for info in event.backends:
             server = known.get(info.id)
             if info.state is api.State.GONE:
-                kept.pop(info.id, None)
+                if kept.pop(info.id, None) is not None and server is not None:
+                    self.slow_start.departed(server.info, server.warm_at)
                 continue
             kind = self.kinds.setdefault(info.kind, Kind(1.0, self.recent_us))
-            if server is None:
-                server = Server(info, kind, self.settings.cold_us, self.decay_us)
-            elif server.info.started_us != info.started_us:
-                server.start(info, kind, self.settings.cold_us)
+            if server is None or server.info.started_us != info.started_us:
+                warm_at = self.slow_start.warm_at(info, now, self.settings.cold_us)
+                if server is None:
+                    server = Server(info, kind, warm_at, self.decay_us)
+                else:
+                    server.start(info, kind, warm_at)
             server.info = info
             kept[info.id] = server
+        if known is not kept:
+            for name, server in known.items():
+                if name not in kept:
+                    self.slow_start.departed(server.info, server.warm_at)
+        if event.kind is not api.ListKind.CACHED:
+            self.back_off.heard()
+            self.slow_start.followed()
         # Draining and gone leave the draw at once. Risk: a drain broken within its grace by a late request.
         self.ready = [server for server in kept.values() if server.info.state is api.State.READY]
         self.ready.sort(key=lambda server: server.info.id)
