--- a/sorrelfront/decisions/slow_start.py
+++ b/sorrelfront/decisions/slow_start.py
@@ -3,8 +3,8 @@
 Lists tell a server's start in Unix time, by a clock that may be an hour off from the one of this process,
 either way. So a difference of the two is believed only where nothing better is known: a start that is told
 while the list is followed is counted from when it is heard, and one that lies ahead of our clock from then as
-well. What remains is the list that a process begins with, told by a clock far behind ours: its servers pass for
-warm.
+well. What remains is the list that a process begins with, told by a clock far behind ours: its servers pass
+for warm.
 """
 
 from __future__ import annotations
