--- /dev/null
+++ b/tests/programs/test_failing_calls.py
@@ -0,0 +1,54 @@
+"""The program where system calls fail for a moment, by a library that is loaded into it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from sorrelfront.lab.faults.shim import compiler
+from sorrelfront.lab.faults.system_calls import Call, SystemCalls
+from tests.loopback import Backend, Registry, answer, looped, member, request, table, until
+from tests.test_process import Program
+
+
+@pytest.fixture
+def calls(tmp_path: Path) -> Iterator[SystemCalls]:
+    if compiler() is None:
+        pytest.skip("the shim needs a C compiler, and this machine has none")
+    made = SystemCalls(tmp_path, seed=1)
+    yield made
+    made.close()
+
+
+@pytest.mark.parametrize("also_control", [False, True])
+@looped
+async def test_a_start_waits_for_sockets_that_cannot_be_had_for_a_moment(
+    tmp_path: Path, calls: SystemCalls, also_control: bool
+) -> None:
+    """The machine has no descriptors or no memory for a socket as the program begins to listen. It ended."""
+    server, registry = await Backend(answer(b"served")).start(), await Registry().start()
+    config = table(registry.address, [member("b0", server.address)])
+    if also_control:
+        config["control"] = "127.0.0.1:0"
+    made = Program(tmp_path, config, calls.environ)
+    calls.set(Call.SOCKET, 1.0)
+    await made.start()
+    try:
+        await until(lambda: calls.hits(Call.SOCKET) >= 3 or made.process.returncode is not None)
+        calls.set(Call.SOCKET, 0.0)
+        ready = asyncio.create_task(made.ready())
+        ended = asyncio.create_task(made.process.wait())
+        await asyncio.wait({ready, ended}, return_when=asyncio.FIRST_COMPLETED)
+        assert ready.done(), f"it ended with {made.process.returncode}"
+        client = ready.result()
+        client.send(request("first"))
+        assert (await client.answer())[0] == 200
+        assert await made.end() == 0
+    finally:
+        if made.process.returncode is None:
+            made.process.kill()
+        server.stop()
+        registry.stop()
