A start waits up to 5 s for a socket that cannot be had for a moment

Cause: Listener and ControlPort make their sockets once; ENFILE, EMFILE, ENOBUFS or ENOMEM of that moment was told as a configuration that cannot be used, exit code 2. net/transient.py makes the call again every 20 ms, for these errors alone and for 5 s at most; an address in use still ends the program at once.

--- a/sorrelfront/platform/__main__.py
+++ b/sorrelfront/platform/__main__.py
@@ -17,6 +17,7 @@
 from sorrelfront.log_limits import RateLimit
 from sorrelfront.messages import Address
 from sorrelfront.net.budget import Descriptors
+from sorrelfront.net.transient import until_possible
 from sorrelfront.platform.config import BadConfig, load
 from sorrelfront.platform.control import ControlPort
 from sorrelfront.platform.service import Service
@@ -80,8 +81,9 @@
     service = Service(config, agent, upstream, folder, predecessor)
     control = None
     if config.control is not None:
+        address = config.control
         try:
-            control = ControlPort(config.control, service)
+            control = await until_possible(lambda: ControlPort(address, service))
         except OSError as fault:
             raise _cannot_listen("control", config.control, fault) from None
     agent.start()
--- a/sorrelfront/platform/service.py
+++ b/sorrelfront/platform/service.py
@@ -10,6 +10,7 @@
 from sorrelfront.agent import Agent
 from sorrelfront.fronts.http1 import Listener
 from sorrelfront.net.budget import OTHER_DESCRIPTORS, BodyBudget, Descriptors
+from sorrelfront.net.transient import until_possible
 from sorrelfront.platform.orders_file import LOOK_S, OrdersFile
 from sorrelfront.platform.upgrade import Predecessor, Succession
 from sorrelfront.terms import Config
@@ -63,7 +64,9 @@
         memory = self._config.memory_bytes if self._predecessor is None else self._config.memory_bytes // 2
         descriptors = self._descriptors()
         where = address if self._predecessor is None else self._predecessor.listening
-        self.listener = Listener(self._agent, where, descriptors, BodyBudget(memory))
+        self.listener = await until_possible(
+            lambda: Listener(self._agent, where, descriptors, BodyBudget(memory))
+        )
         if self._folder is not None:
             try:
                 self._succession = Succession(
--- a/tests/programs/test_failing_calls.py
+++ b/tests/programs/test_failing_calls.py
@@ -11,7 +11,7 @@
 from sorrelfront.lab.faults.shim import compiler
 from sorrelfront.lab.faults.system_calls import Call, SystemCalls
 from tests.loopback import Backend, Registry, answer, looped, member, request, table, until
-from tests.test_process import Program
+from tests.test_process import Program, free_address
 
 
 @pytest.fixture
@@ -32,7 +32,7 @@
     server, registry = await Backend(answer(b"served")).start(), await Registry().start()
     config = table(registry.address, [member("b0", server.address)])
     if also_control:
-        config["control"] = "127.0.0.1:0"
+        config["control"] = "{}:{}".format(*free_address())
     made = Program(tmp_path, config, calls.environ)
     calls.set(Call.SOCKET, 1.0)
     await made.start()
