The front names what it asks of its handler; a partner gateway counts and gives up too

By the same cast it had no way to give a request up at a stop that is out of time. RequestHandler, a protocol, takes the cast's place; both are there.

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -151,7 +151,11 @@
         self._closed = False
         self._count = 0
         self.tallies = {name: Tally() for name in self._classes}
-        self.events = EventCounter()
+        self._events = EventCounter()
+
+    @property
+    def events(self) -> EventCounter:
+        return self._events
 
     @property
     def served(self) -> int:
@@ -246,7 +250,7 @@
         held = Held(self._count, call, self._loop.create_future())
         if len(self._held) >= self._config.most_held:
             self.tallies[call.class_name].refused += 1
-            self.events.add(Event.REFUSED, api.EndReason.UNSENT, _id(call))
+            self._events.add(Event.REFUSED, api.EndReason.UNSENT, _id(call))
             held.answer.set_result(Refused(FULL_RETRY_AFTER_US))
             return held
         self._held[held.id] = held
@@ -377,7 +381,7 @@
     def _count_end(self, event: Event, reason: api.EndReason, request_id: int) -> None:
         held = self._held.get(request_id)
         if held is not None:
-            self.events.add(event, reason, _id(held.call))
+            self._events.add(event, reason, _id(held.call))
 
     def _answer(self, request_id: int, answer: Final) -> None:
         held = self._held.get(request_id)
@@ -429,7 +433,7 @@
             log.error("an attempt for request %d, which is not held", action.request_id)
             return
         if held.outcome is not None:
-            self.events.add(Event.RETRIED, held.outcome, _id(held.call))
+            self._events.add(Event.RETRIED, held.outcome, _id(held.call))
         key = (held.id, held.attempts)
         held.attempts += 1
         started = self.now()
@@ -510,7 +514,7 @@
         waited_us = max(0, elapsed_us - ended.tail_us)
         outcome = held.outcome = ended.outcome
         if outcome is not api.Outcome.OK:
-            self.events.add(Event.ATTEMPT, outcome, _id(held.call))
+            self._events.add(Event.ATTEMPT, outcome, _id(held.call))
         if outcome is api.Outcome.UNREACHABLE and held.id not in self._held:
             # Risk: a server is shut as unreachable since nothing was begun for a client that had left. Harm:
             # one that could not be reached in fact shows by the next attempt.
--- a/sorrelfront/daemon/border.py
+++ b/sorrelfront/daemon/border.py
@@ -8,11 +8,10 @@
 import os
 import time
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
-from sorrelfront.agent import Agent
 from sorrelfront.daemon import records
 from sorrelfront.daemon.configuration import MEMBERS
 from sorrelfront.daemon.gate import GatedAgent
@@ -110,7 +109,7 @@
         gateway = Gateway(self._agent, self.border, self._passage, self._keys)
         try:
             self._listener = Listener(
-                cast(Agent, gateway),
+                gateway,
                 parse_address(self._table["gateway"]),
                 Descriptors(config.sockets),
                 bodies,
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -21,9 +21,9 @@
 
 import h11
 
-from sorrelfront.agent import UPLOAD_RATE_LEAST, Agent, Held, close
+from sorrelfront.agent import UPLOAD_RATE_LEAST, Held, close
 from sorrelfront.decisions.interface import Effect, RequestClass
-from sorrelfront.events import Event
+from sorrelfront.events import Event, EventCounter
 from sorrelfront.messages import Address, Answer, Call, Final, Headers, Refused, Stream
 from sorrelfront.net.bodies import Upload
 from sorrelfront.net.budget import BODY_MOST, STREAM_MOST, BodyBudget, BodyShare, Descriptors
@@ -108,6 +108,29 @@
     GOING_AWAY = "going-away"
 
 
+class RequestHandler(Protocol):
+    """What the front hands requests to."""
+
+    @property
+    def longest_deadline_us(self) -> int: ...
+
+    @property
+    def events(self) -> EventCounter:
+        """Where closes and refusals of the front's own are counted."""
+
+    def request_class(self, name: str) -> RequestClass | None: ...
+
+    def has_open(self, client_id: bytes) -> bool: ...
+
+    def take(self, call: Call) -> Held: ...
+
+    def whole(self, held: Held) -> None: ...
+
+    def abandon(self, held: Held) -> None: ...
+
+    def fail(self, held: Held) -> None: ...
+
+
 class _Gone(Exception):
     """The client has closed its connection."""
 
@@ -128,7 +151,7 @@
 
     def __init__(
         self,
-        agent: Agent,
+        agent: RequestHandler,
         address: Address | socket.socket,
         descriptors: Descriptors,
         bodies: BodyBudget,
@@ -1077,7 +1100,7 @@
         raise BadRequest(400, "a GET here has no body")
 
 
-def parse_call(head: Head, agent: Agent) -> Call:
+def parse_call(head: Head, agent: RequestHandler) -> Call:
     """What the module is told and what goes on to a backend."""
     if head.method not in (b"GET", b"POST"):
         raise BadRequest(405, "the method is neither GET nor POST")
--- a/sorrelfront/sites/requests.py
+++ b/sorrelfront/sites/requests.py
@@ -20,6 +20,7 @@
 from sorrelfront.decisions import interface as api
 from sorrelfront.decisions.sites.passage import FULL_US, Away, In, Passage, parse_path
 from sorrelfront.decisions.sites.routes import Border, Route
+from sorrelfront.events import EventCounter
 from sorrelfront.lists import parse_address
 from sorrelfront.messages import Address, Answer, Call, Ended, Failed, Final, Headers, Refused, Update
 from sorrelfront.net.http import Payload
@@ -424,6 +425,10 @@
     def longest_deadline_us(self) -> int:
         return self._agent.longest_deadline_us
 
+    @property
+    def events(self) -> EventCounter:
+        return self._agent.events
+
     def request_class(self, name: str) -> api.RequestClass | None:
         return self._agent.request_class(name)
 
@@ -441,6 +446,12 @@
         if call_off is not None:
             call_off()
 
+    def fail(self, held: Held) -> None:
+        call_off = self._call_off.pop(held.id, None)
+        self._finish(held, Failed())
+        if call_off is not None:
+            call_off()
+
     def take(self, call: Call) -> Held:
         self._count += 1
         outer = Held(self._count, call, asyncio.get_running_loop().create_future())
