--- a/sorrelfront/decisions/listing.py
+++ b/sorrelfront/decisions/listing.py
@@ -72,12 +72,13 @@
         self.failures = 0
 
 
-class Call:
+class DiscoveryCall:
     """One call to the service, from its start to its end."""
 
-    __slots__ = ("answered", "opened", "since")
+    __slots__ = ("answered", "number", "opened", "since")
 
-    def __init__(self, now: int) -> None:
+    def __init__(self, now: int, number: int) -> None:
+        self.number = number  # of this process's calls, from 1 on
         self.opened = now
         self.since = now  # its start, or its last whole line
         self.answered = False  # it has said something of the list, if only that nothing changed
@@ -93,7 +94,7 @@
         return self.since + SILENCE_US
 
 
-class ListClock:
+class WatchTimer:
     """What one source knows of time: of its open call, and of what may have been missed."""
 
     def __init__(self, pushed: bool, random: Callable[[], float], within_us: int, grace_us: int) -> None:
@@ -105,15 +106,17 @@
         self._random = random
         self._back_off = BackOff(random)
         self._heard_at: int | None = None  # the last line of any call
-        self._newest: Call | None = None
+        self._newest: DiscoveryCall | None = None
+        self._count = 0  # calls so far
         self.counts_at: int | None = None  # when what may have been missed counts as told
 
-    def opened(self, now: int) -> Call:
+    def opened(self, now: int) -> DiscoveryCall:
         """A call goes out; beside it, after a move, the one before may still be heard."""
-        self._newest = Call(now)
+        self._count += 1
+        self._newest = DiscoveryCall(now, self._count)
         return self._newest
 
-    def line(self, call: Call, now: int) -> None:
+    def line(self, call: DiscoveryCall, now: int) -> None:
         """A whole line came, empty or not: what the service has to say up to now is known."""
         call.since = now
         call.answered = True
@@ -126,7 +129,7 @@
         """Another address is asked from here on."""
         self._counts(now + MOVED_US)
 
-    def ended(self, call: Call, now: int, silent: bool, unreachable: bool = False) -> int | None:
+    def ended(self, call: DiscoveryCall, now: int, silent: bool, unreachable: bool = False) -> int | None:
         """It is over; `silent`: nothing came until `due`; `unreachable`: nobody took it. The wait before the
         next one, or None: that is for `BackOff` to say."""
         if silent and call.answered:
--- a/sorrelfront/sources/registry.py
+++ b/sorrelfront/sources/registry.py
@@ -13,7 +13,7 @@
 
 import h11
 
-from sorrelfront.decisions.listing import Call, ListClock
+from sorrelfront.decisions.listing import DiscoveryCall, WatchTimer
 from sorrelfront.lists import Malformed, parse_update
 from sorrelfront.messages import Address, Update
 from sorrelfront.net.http import Wire, frame
@@ -89,7 +89,7 @@
         revision: int,
         on_update: Callable[[Update], None],
         on_failure: Callable[[], None],
-        clock: ListClock,
+        clock: WatchTimer,
     ) -> None:
         self._address = address
         self._after = revision
@@ -101,7 +101,6 @@
         self._watch: asyncio.Task[None] | None = None
         self._earlier: asyncio.Task[None] | None = None  # at the address before the last move
         self._again: asyncio.TimerHandle | None = None
-        self._calls = 0  # opened so far, for the log
 
     def subscribe(self) -> None:
         """Ask for changes from here on, unless a call is open: one that was opened by a move, after the
@@ -146,13 +145,11 @@
 
     async def _run(self) -> None:
         call = self.clock.opened(now_us())
-        self._calls += 1
-        number = self._calls
         silent = spoilt = unreachable = False
         end = "its end"
-        log.info("watch %d: opened at %s:%d after revision %d", number, *self._address, self._after)
+        log.info("watch %d: opened at %s:%d after revision %d", call.number, *self._address, self._after)
         try:
-            await self._follow(self._address, call, number)
+            await self._follow(self._address, call)
         except _Spoilt as fault:
             spoilt = True
             end = str(fault)
@@ -163,14 +160,14 @@
         except Exception:
             end = "a fault of this program"
             log.exception("the watch failed")
-        log.warning("watch %d: broke after %.3f s, %.3f s after its last line: %s", number,
+        log.warning("watch %d: broke after %.3f s, %.3f s after its last line: %s", call.number,
                     (now_us() - call.opened) / 1e6, (now_us() - call.since) / 1e6, end)  # fmt: skip
         if asyncio.current_task() is self._earlier:
             self._earlier = None  # it was to end; the watch that took its place goes on
             return
         self._watch = None
         wait_us = 0 if spoilt else self.clock.ended(call, now_us(), silent, unreachable)
-        log.info("watch %d: %s", number,
+        log.info("watch %d: %s", call.number,
                  "the back-off says when the next one is opened" if wait_us is None
                  else f"the next one is opened in {wait_us / 1e6:.3f} s")  # fmt: skip
         if wait_us is None:
@@ -178,7 +175,7 @@
         else:
             self._again = asyncio.get_running_loop().call_later(wait_us / 1e6, self.subscribe)
 
-    async def _follow(self, address: Address, call: Call, number: int) -> None:
+    async def _follow(self, address: Address, call: DiscoveryCall) -> None:
         loop = asyncio.get_running_loop()
         wire = Wire(socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK))
         try:
@@ -191,11 +188,11 @@
                 headers=[("Host", "{}:{}".format(*address))],
             )
             await wire.send(frame(parser, request, h11.EndOfMessage()), _left_s(call))
-            await self._read(parser, wire, call, number)
+            await self._read(parser, wire, call)
         finally:
             wire.close()
 
-    async def _read(self, parser: h11.Connection, wire: Wire, call: Call, number: int) -> None:
+    async def _read(self, parser: h11.Connection, wire: Wire, call: DiscoveryCall) -> None:
         """Only whole lines count. Risk: a watch that falls silent and stays open would hide every drain."""
         partial, texts = bytearray(), Texts()
         while True:
@@ -206,11 +203,11 @@
                 if event.status_code != 200:
                     raise Malformed(f"status {event.status_code}")
                 call.began(now_us())
-                log.info("watch %d: accepted after %.3f s", number, (now_us() - call.opened) / 1e6)
+                log.info("watch %d: accepted after %.3f s", call.number, (now_us() - call.opened) / 1e6)
             elif isinstance(event, h11.Data):
                 *lines, rest = event.data.split(b"\n")
                 for line in lines:
-                    self._line(bytes(partial + line), texts, call, number)
+                    self._line(bytes(partial + line), texts, call)
                     partial.clear()
                 partial += rest
                 if len(partial) > TEXT_MOST:
@@ -218,7 +215,7 @@
             elif not isinstance(event, h11.InformationalResponse):
                 return
 
-    def _line(self, line: bytes, texts: Texts, call: Call, number: int) -> None:
+    def _line(self, line: bytes, texts: Texts, call: DiscoveryCall) -> None:
         """Take one line. Raises _Spoilt, so that the call is made anew after the last good update."""
         self.clock.line(call, now_us())
         if self._earlier is not None and asyncio.current_task() is not self._earlier:
@@ -235,7 +232,7 @@
             self._missed = False
         if not self._missed:
             self._after = update.revision
-        log.info("watch %d: list %d (%s), %d entries, after %.3f s", number, update.revision,
+        log.info("watch %d: list %d (%s), %d entries, after %.3f s", call.number, update.revision,
                  "whole" if update.complete else "changes", len(update.backends),
                  (now_us() - call.opened) / 1e6)  # fmt: skip
         self._on_update(update)
@@ -249,7 +246,7 @@
         log.warning("an update of the watch is passed over: %s", fault)
 
 
-def _left_s(call: Call) -> float:
+def _left_s(call: DiscoveryCall) -> float:
     return max(0.001, (call.due - now_us()) / 1e6)
 
 
@@ -257,5 +254,5 @@
     """The registry's watch as the configuration tells of it."""
     settings = config.settings
     random = Random(config.seed ^ SEED).random
-    clock = ListClock(not settings.subscribe, random, settings.ask_within_us, settings.drain_grace_us)
+    clock = WatchTimer(not settings.subscribe, random, settings.ask_within_us, settings.drain_grace_us)
     return Discovery(config.discovery, config.known.revision, on_update, on_failure, clock)
--- a/tests/decisions/test_listing.py
+++ b/tests/decisions/test_listing.py
@@ -16,7 +16,7 @@
     MOVED_US,
     SILENCE_US,
     BackOff,
-    ListClock,
+    WatchTimer,
 )
 
 SECOND = 1_000_000
@@ -25,8 +25,8 @@
 HELD_UP = 150_000  # a process may stand still for so long
 
 
-def clock(pushed: bool = False) -> ListClock:
-    return ListClock(pushed, Random(1).random, WITHIN, GRACE)
+def clock(pushed: bool = False) -> WatchTimer:
+    return WatchTimer(pushed, Random(1).random, WITHIN, GRACE)
 
 
 def test_a_call_is_broken_without_a_whole_line_however_it_drips() -> None:
