The time for which a request waits to be accepted is taken off what its server is told

Found by plays with failing calls: while accepting fails a client's time runs, and the first request of a connection had its server told the whole of it, 3.994 s of 4 s after half a second in the test, where 0.15 s of slack are allowed. At the accept the kernel tells when data came last (tcp_info); from 20 ms on, and with something to read, that is taken off the first request's time. The test fails without it (checked by taking the change out). The cost is one call to the kernel a connection.

--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -34,7 +34,10 @@
 
 READY = b"/health/ready"
 ACCEPTS_IN_A_ROW = 16  # connections accepted before the loop is let go on
-TCPI_UNACKED = 24  # its place in the kernel's struct tcp_info, in bytes
+# Places in the kernel's struct tcp_info, in bytes.
+TCPI_UNACKED = 24
+TCPI_LAST_DATA_RECV = 52
+ACCEPTED_LATE_MS = 20  # from here on the time that a request waited to be accepted is taken off what it has
 AWAITED_S = 0.005  # between looks at whether the backlog is empty, while going away
 ACCEPT_AGAIN_S = 0.01  # after a failed accept: descriptors come back as attempts end
 BACKLOG = 4096  # a crowd waits here and not in lost SYNs, which come again only after a second
@@ -366,7 +369,7 @@
                 asyncio.get_running_loop().call_later(ACCEPT_AGAIN_S, self._resume)
                 return
             self._accepted += 1
-            self.begin(sock)
+            self.begin(sock).waited_us = _waited_us(sock)
 
     def _backlog(self) -> int:
         """How many connections the machine has accepted that wait for us: `tcpi_unacked` of a listening
@@ -440,6 +443,19 @@
         self._resume()
 
 
+def _waited_us(sock: socket.socket) -> int:
+    """For how long a request has waited on a connection that is accepted now, in microseconds; 0 if nothing
+    has come, or a moment ago. Where accepting fails for a while, a client's time runs all the same."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCPI_LAST_DATA_RECV + 4)
+        (waited_ms,) = struct.unpack_from("=I", info, TCPI_LAST_DATA_RECV)
+        if waited_ms < ACCEPTED_LATE_MS or not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+            return 0
+    except (OSError, struct.error):
+        return 0
+    return int(waited_ms) * 1_000
+
+
 class _Client:
     """One connection. It reads on while answers are due, so that a client's going is seen at once.
 
@@ -449,11 +465,12 @@
     __slots__ = (
         "__weakref__", "_abort", "_agent", "_answered", "_answered_last", "_asked", "_begun", "_blank",
         "_body_since", "_deaf", "_linger", "_listener", "_share", "_task", "_turns", "_until",
-        "_upload", "_writer", "wire",
+        "_upload", "_writer", "waited_us", "wire",
     )  # fmt: skip
 
     def __init__(self, listener: Listener, wire: Wire) -> None:
         self.wire = wire
+        self.waited_us = 0  # for which its first request lay in the kernel before it was accepted
         self._listener = listener
         self._agent = listener.agent
         self._turns: list[_Turn] = []  # PIPELINE_MOST at most
@@ -818,6 +835,7 @@
         this length (None: not known), goes on; then what it goes on by is returned."""
         self._share = None
         self._begun = False
+        waited_us, self.waited_us = self.waited_us, 0
         share.whole()
         if call is not None and self._agent.has_open(call.client_id):
             # Risk: where requests are told apart by id, one of the two would be taken for the other.
@@ -839,6 +857,7 @@
                 call.payload.body = bytearray()
                 self._begun = True  # until the rest is here
                 self._listener.uploading.add(self)
+            call.budget_us -= waited_us
             held = self._agent.take(call)
             self._push(_Turn(parser, held.answer, share, held, last))
         return self._upload
--- a/tests/programs/test_failing_calls.py
+++ b/tests/programs/test_failing_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -10,9 +11,11 @@
 
 from sorrelfront.lab.faults.shim import compiler
 from sorrelfront.lab.faults.system_calls import Call, SystemCalls
-from tests.loopback import Backend, Registry, answer, looped, member, request, table, until
+from tests.loopback import Backend, Registry, answer, connect, looped, member, request, table, until
 from tests.test_process import Program, free_address
 
+SLACK_US = 150_000  # of the time that a server is told
+
 
 @pytest.fixture
 def calls(tmp_path: Path) -> Iterator[SystemCalls]:
@@ -52,3 +55,32 @@
             made.process.kill()
         server.stop()
         registry.stop()
+
+
+@looped
+async def test_the_time_for_which_a_request_waits_to_be_accepted_is_not_told_to_its_server(
+    tmp_path: Path, calls: SystemCalls
+) -> None:
+    """Accepting fails for half a second, in which the client's time runs."""
+    server, registry = await Backend(answer(b"served")).start(), await Registry().start()
+    made = Program(tmp_path, table(registry.address, [member("b0", server.address)]), calls.environ)
+    await made.start()
+    try:
+        (await made.ready()).close()
+        calls.set(Call.ACCEPT, 1.0)
+        client = await connect(made.address)
+        client.send(request("late", budget="4000m"))
+        sent = time.monotonic()
+        before = calls.hits(Call.ACCEPT)
+        await until(lambda: time.monotonic() > sent + 0.5 and calls.hits(Call.ACCEPT) > before)
+        calls.set(Call.ACCEPT, 0.0)
+        accepted = time.monotonic()
+        assert (await client.answer())[0] == 200
+        (told,) = (line for line in server.seen[0].split(b"\r\n") if line.startswith(b"X-Budget: "))
+        assert 0 < int(told[10:-1]) <= 4_000_000 - (accepted - sent) * 1e6 + SLACK_US
+        assert await made.end() == 0
+    finally:
+        if made.process.returncode is None:
+            made.process.kill()
+        server.stop()
+        registry.stop()
