--- /dev/null
+++ b/sorrelfront/lab/faults/page.h
@@ -0,0 +1,17 @@
+/* The page of memory by which a shim is steered: a file that an environment variable names, mapped and shared. */
+
+#include <fcntl.h>
+#include <stdlib.h>
+#include <sys/mman.h>
+#include <unistd.h>
+
+static inline void *map_page(const char *variable, size_t size)
+{
+    const char *path = getenv(variable);
+    int fd = path ? open(path, O_RDWR | O_CLOEXEC) : -1;
+    if (fd < 0)
+        return NULL;
+    void *mapped = mmap(NULL, size, PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+    close(fd);
+    return mapped == MAP_FAILED ? NULL : mapped;
+}
--- a/sorrelfront/lab/faults/system_calls.c
+++ b/sorrelfront/lab/faults/system_calls.c
@@ -5,15 +5,13 @@
  * program's own parts say to each other goes on. Randomness is a linear congruential generator, seeded there. */
 
 #define _GNU_SOURCE
+#include "page.h"
+
 #include <dlfcn.h>
 #include <errno.h>
-#include <fcntl.h>
 #include <stdint.h>
-#include <stdlib.h>
 #include <sys/epoll.h>
-#include <sys/mman.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 enum call { ACCEPT, SOCKET, CONNECT, POLL, SHORT_READ, SHORT_WRITE, BROKEN, CALLS };
 
@@ -39,14 +37,7 @@
 
 __attribute__((constructor)) static void start(void)
 {
-    const char *path = getenv("SYSTEM_CALLS_PAGE");
-    int fd = path ? open(path, O_RDWR | O_CLOEXEC) : -1;
-    if (fd < 0)
-        return;
-    void *mapped = mmap(NULL, sizeof(struct page), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
-    close(fd);
-    if (mapped != MAP_FAILED)
-        page = mapped;
+    page = map_page("SYSTEM_CALLS_PAGE", sizeof *page);
 }
 
 static uint32_t draw(uint32_t below)
--- a/sorrelfront/lab/faults/wall_clock.c
+++ b/sorrelfront/lab/faults/wall_clock.c
@@ -5,14 +5,12 @@
  * clock is left alone. */
 
 #define _GNU_SOURCE
+#include "page.h"
+
 #include <dlfcn.h>
-#include <fcntl.h>
 #include <stdint.h>
-#include <stdlib.h>
-#include <sys/mman.h>
 #include <sys/time.h>
 #include <time.h>
-#include <unistd.h>
 
 #define NANOSECONDS 1000000000LL
 
@@ -26,15 +24,8 @@
 
 __attribute__((constructor)) static void start(void)
 {
-    const char *path = getenv("WALL_CLOCK_PAGE");
-    int fd = path ? open(path, O_RDWR | O_CLOEXEC) : -1;
     real_clock_gettime = (int (*)(clockid_t, struct timespec *))dlsym(RTLD_NEXT, "clock_gettime");
-    if (fd < 0)
-        return;
-    void *mapped = mmap(NULL, sizeof(struct page), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
-    close(fd);
-    if (mapped != MAP_FAILED)
-        page = mapped;
+    page = map_page("WALL_CLOCK_PAGE", sizeof *page);
 }
 
 int clock_gettime(clockid_t clock, struct timespec *now)
--- a/tests/programs/test_clock_steps.py
+++ b/tests/programs/test_clock_steps.py
@@ -9,13 +9,9 @@
 
 import asyncio
 import time
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
-import pytest
-
-from sorrelfront.lab.faults.shim import compiler
 from sorrelfront.lab.faults.wall_clock import WallClock
 from tests.loopback import Backend, Client, Registry, answer, looped, member, request, table
 from tests.test_process import Program
@@ -25,15 +21,6 @@
 SERVERS = 4
 
 
-@pytest.fixture
-def wall_clock(tmp_path: Path) -> Iterator[WallClock]:
-    if compiler() is None:
-        pytest.skip("the shim needs a C compiler, and this machine has none")
-    made = WallClock(tmp_path)
-    yield made
-    made.close()
-
-
 def started_now(name: str, server: Backend) -> dict[str, Any]:
     return {**member(name, server.address), "up_since_ms": int(time.time() * 1_000)}
 
--- a/tests/programs/test_failing_calls.py
+++ b/tests/programs/test_failing_calls.py
@@ -4,28 +4,18 @@
 
 import asyncio
 import time
-from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from sorrelfront.lab.faults.shim import compiler
 from sorrelfront.lab.faults.system_calls import Call, SystemCalls
 from tests.loopback import Backend, Registry, answer, connect, looped, member, request, table, until
+from tests.programs.test_lists import stop
 from tests.test_process import Program, free_address
 
 SLACK_US = 150_000  # of the time that a server is told
 
 
-@pytest.fixture
-def calls(tmp_path: Path) -> Iterator[SystemCalls]:
-    if compiler() is None:
-        pytest.skip("the shim needs a C compiler, and this machine has none")
-    made = SystemCalls(tmp_path, seed=1)
-    yield made
-    made.close()
-
-
 @pytest.mark.parametrize("also_control", [False, True])
 @looped
 async def test_a_start_waits_for_sockets_that_cannot_be_had_for_a_moment(
@@ -51,10 +41,7 @@
         assert (await client.answer())[0] == 200
         assert await made.end() == 0
     finally:
-        if made.process.returncode is None:
-            made.process.kill()
-        server.stop()
-        registry.stop()
+        stop(made, server, registry)
 
 
 @looped
@@ -80,7 +67,4 @@
         assert 0 < int(told[10:-1]) <= 4_000_000 - (accepted - sent) * 1e6 + SLACK_US
         assert await made.end() == 0
     finally:
-        if made.process.returncode is None:
-            made.process.kill()
-        server.stop()
-        registry.stop()
+        stop(made, server, registry)
--- a/tests/programs/test_stale_lists.py
+++ b/tests/programs/test_stale_lists.py
@@ -19,13 +19,11 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from sorrelfront.lab.faults.shim import compiler
 from sorrelfront.lab.faults.wall_clock import WallClock
 from tests.loopback import PATIENCE_S, Backend, Client, Registry, answer, looped, member, request, table
 from tests.test_process import Program
@@ -77,15 +75,6 @@
             writer.close()
 
 
-@pytest.fixture
-def wall_clock(tmp_path: Path) -> Iterator[WallClock]:
-    if compiler() is None:
-        pytest.skip("the shim needs a C compiler, and this machine has none")
-    made = WallClock(tmp_path)
-    yield made
-    made.close()
-
-
 class Stage:
     """One process between a client that never pauses, six servers and a busy discovery."""
 
