Closes towards servers and malformed requests are counted by reason too

The issue asks for the reasons of every close, retry and refusal; these two were missing, seen on reading the change once more. The test fails without them: the counts are not there.

--- a/sorrelfront/events.py
+++ b/sorrelfront/events.py
@@ -42,6 +42,10 @@
         if example:
             self._latest[key] = example[:EXAMPLE_LENGTH]
 
+    def count(self, event: Event, reason: Enum) -> int:
+        """How many of these there were since the last line."""
+        return self._counts.get((event, str(reason.value)), 0)
+
     def report(self) -> None:
         """Log what was counted since the last line, if the span is over and there is anything."""
         now = self._clock()
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -109,6 +109,7 @@
     INCOMPLETE = "incomplete"  # it did not come whole in time
     NO_ROOM = "no-room"
     GOING_AWAY = "going-away"
+    BAD_REQUEST = "bad-request"  # it cannot be read, is not allowed, or is too long
 
 
 class RequestHandler(Protocol):
@@ -631,6 +632,7 @@
                     last = await self._read_strictly(parser, data)
                     rest = parser.trailing_data[0]
             except BadRequest as bad:
+                self._agent.events.add(Event.REFUSED, RejectReason.BAD_REQUEST)
                 self._push_text(parser, bad.status, str(bad))
                 last = True
             # Risk: kept by name, a request's bytes stay with each connection that waits for the next.
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -12,12 +12,14 @@
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
+from enum import StrEnum
 from functools import partial
 
 import h11
 
 from sorrelfront.agent import DEADLINE_MARGIN_US
 from sorrelfront.decisions.interface import Outcome
+from sorrelfront.events import Event, EventCounter
 from sorrelfront.messages import Address, Answer, Call, Ended, Upload
 from sorrelfront.net.bodies import Broken
 from sorrelfront.net.budget import BODY_MOST, STREAM_MOST, Descriptors
@@ -62,6 +64,20 @@
     """A rested connection spoke before it was asked."""
 
 
+class ServerCloseReason(StrEnum):
+    """Why a connection to a server was closed."""
+
+    UNFINISHED = "server-exchange-unfinished"  # the attempt's outcome tells more
+    CONNECT_FAILED = "server-connect-failed"
+    NOT_WANTED = "server-not-wanted"  # its request was ended, or its server withdrawn, while it came up
+    STALE = "server-stale"  # it had rested too long, or said something, when it was to be used
+    ENDED = "server-ended"  # the server ended it, or said something, at rest
+    IDLE = "server-idle"
+    EVICTED = "server-evicted"  # for another, or over a lower limit
+    WITHDRAWN = "server-withdrawn"  # the list withdrew the server
+    SHUTDOWN = "server-shutdown"
+
+
 class Upstream:
     """Connections to backends: those in use are counted, those at rest watched for their end."""
 
@@ -72,6 +88,7 @@
         self.opened = 0
         self.written = 0  # requests written whole to backends
         self._retired = 0.0
+        self.events = EventCounter()
 
     def resize(self, descriptors: int, idle_us: int, connect_timeout_us: int) -> None:
         """Take on other limits; what is open over a lower one goes as attempts end."""
@@ -154,12 +171,12 @@
             rested_s = now - since
             if rested_s < self._idle_s and wire.quiet():
                 return wire, rested_s >= SETTLED_S
-            self.drop(wire)
+            self.drop(wire, ServerCloseReason.STALE)
         return None
 
     async def connect(self, address: Address) -> Wire:
         """A new connection. Raises OSError, TimeoutError too, or NoDescriptor."""
-        if self.open >= self._descriptors and not self._drop_oldest_idle():
+        if self.open >= self._descriptors and not self._drop_oldest_idle(ServerCloseReason.EVICTED):
             raise NoDescriptor
         self.open += 1
         try:
@@ -173,7 +190,7 @@
             async with asyncio.timeout(self._connect_timeout_s):
                 await asyncio.get_running_loop().sock_connect(sock, address)
         except BaseException:
-            self.drop(wire)
+            self.drop(wire, ServerCloseReason.CONNECT_FAILED)
             raise
         self.opened += 1
         return wire
@@ -182,13 +199,14 @@
         """Keep a connection for the next request, and drop it at whatever the backend says meanwhile."""
         self._retire()
         if self.open > self._descriptors:
-            self.drop(wire)
+            self.drop(wire, ServerCloseReason.EVICTED)
             return
         self._idle.setdefault(address, deque()).append((time.monotonic(), wire))
         wire.rest(partial(self._ended_at_rest, address, wire))
 
-    def drop(self, wire: Wire) -> None:
+    def drop(self, wire: Wire, reason: ServerCloseReason = ServerCloseReason.UNFINISHED) -> None:
         if not wire.closed:
+            self.events.add(Event.CLOSED, reason)
             self.open -= 1
             wire.close()
 
@@ -196,11 +214,11 @@
         """Drop what rests at an address whose backend is gone. Risk: another one comes up there, and a
         connection to a machine that vanished says nothing of its end."""
         for _, wire in self._idle.pop(address, ()):
-            self.drop(wire)
+            self.drop(wire, ServerCloseReason.WITHDRAWN)
 
     def close(self) -> None:
         """Drop all that rests."""
-        while self._drop_oldest_idle():
+        while self._drop_oldest_idle(ServerCloseReason.SHUTDOWN):
             pass
 
     def _ended_at_rest(self, address: Address, wire: Wire) -> None:
@@ -209,7 +227,7 @@
         self._idle[address] = deque(item for item in resting if item[1] is not wire)
         if not self._idle[address]:
             del self._idle[address]
-        self.drop(wire)
+        self.drop(wire, ServerCloseReason.ENDED)
 
     def _retire(self) -> None:
         """Drop what has rested too long, at every address. Risk: backends that are gone leave theirs."""
@@ -217,19 +235,20 @@
         if now < self._retired + RETIRE_S:
             return
         self._retired = now
+        self.events.report()
         oldest = now - self._idle_s
         for address, resting in list(self._idle.items()):
             while resting and resting[0][0] < oldest:
-                self.drop(resting.popleft()[1])
+                self.drop(resting.popleft()[1], ServerCloseReason.IDLE)
             if not resting:
                 del self._idle[address]
 
-    def _drop_oldest_idle(self) -> bool:
+    def _drop_oldest_idle(self, reason: ServerCloseReason) -> bool:
         if not self._idle:
             return False
         address = min(self._idle, key=lambda address: self._idle[address][0][0])
         resting = self._idle[address]
-        self.drop(resting.popleft()[1])
+        self.drop(resting.popleft()[1], reason)
         if not resting:
             del self._idle[address]
         return True
@@ -273,7 +292,7 @@
         except OSError:
             return Ended(Outcome.UNREACHABLE)
         if not self._fit():  # it may have taken its time
-            self._upstream.drop(wire)
+            self._upstream.drop(wire, ServerCloseReason.NOT_WANTED)
             return Ended(Outcome.UNREACHABLE)
         return await self._on(wire, rested=False, at_once=False) or Ended(Outcome.UNREACHABLE)
 
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -8,6 +8,9 @@
 
 from sorrelfront.decisions.interface import EndReason, Outcome
 from sorrelfront.events import SPAN_S, Event, EventCounter
+from sorrelfront.fronts.http1 import RejectReason
+from sorrelfront.upstreams.http1 import ServerCloseReason
+from tests.loopback import Backend, answer, looped, request, world
 
 
 def test_one_line_for_a_span_tells_each_reason_its_count_and_the_latest_request(
@@ -27,3 +30,16 @@
     now = 2 * SPAN_S
     events.report()
     assert len(caplog.messages) == 1
+
+
+@looped
+async def test_a_malformed_request_and_a_close_towards_a_server_are_counted_with_their_reasons() -> None:
+    async with world(await Backend(answer(b"served")).start()) as made:
+        client = await made.client()
+        client.send(request("first"))
+        assert (await client.answer())[0] == 200
+        made.upstream.close()
+        client.send(b"nonsense\r\n\r\n")
+        assert (await client.answer())[0] == 400
+        assert made.upstream.events.count(Event.CLOSED, ServerCloseReason.SHUTDOWN) == 1
+        assert made.agent.events.count(Event.REFUSED, RejectReason.BAD_REQUEST) == 1
