Case 3: bodies of 1.0 to 1.1 MB, whose last byte the agent's machine has acknowledged

With bodies of up to 1.6 MB the end of some lost requests lay in the client's own kernel, which left open whether they had been taken.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -32,7 +32,7 @@
 SERVERS = 5
 HANG_S = 18.0  # of one server, a fifth of them
 CLIENTS = 6
-BODIES = [1_000_000, 1_200_000, 1_600_000]  # bytes, in turn
+BODIES = [1_000_000, 1_050_000, 1_100_000]  # bytes, in turn
 PAUSE_S = 0.5  # of a client between two requests
 BUDGET_MS = 2_000  # two thirds of the class's give-up time of 3 s
 PLAY_S = 30.0  # of the clients, from the first request on
--- a/review/standins.py
+++ b/review/standins.py
@@ -381,5 +381,6 @@
                 record(f"log of {log.parent.name}: {line[:300]}")
         shutil.rmtree(scratch, ignore_errors=True)
     record("the rule held" if held else "the rule was broken")
-    print("the rule held" if held else "the rule was broken")
+    with contextlib.suppress(OSError):  # whoever reads the output may be gone
+        print("the rule held" if held else "the rule was broken", flush=True)
     sys.exit(0 if held else 1)
