The cases' scripts exit with 0, 1 or 2 alone and leave no process behind

An exception before or outside the play ended a script with 1, as if the rule were broken, and a script that was itself ended left the agent and its servers running. A runner now exits with 2 for what keeps a case from being carried out, signals end the play in order, and the kernel ends the children with their parent. Checked: a run line that ends at once and a fault in a case's own code give 2; after SIGTERM and SIGKILL nothing is left.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -138,9 +138,7 @@
             tasks = [asyncio.create_task(bad_client(i, port, stop, record)) for i in range(BAD_CLIENTS)]
         await asyncio.sleep(1.0)
         await asyncio.gather(*(usual_client(i, port, record, late, counts) for i in range(USUAL_CLIENTS)))
-        if agent.process is None or agent.process.returncode is not None:
-            record("the agent has ended")
-            return False
+        agent.check_running()
     finally:
         stop.set()
         for task in tasks:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -23,6 +23,7 @@
     Discovery,
     Record,
     config,
+    end_with_parent,
     free_port,
     main,
     read_answer,
@@ -50,7 +51,11 @@
     async def start(self) -> dict[str, object]:
         """Start it and return its entry for the list."""
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", str(FOLDER / "server.py"), stdout=asyncio.subprocess.PIPE
+            sys.executable,
+            "-B",
+            str(FOLDER / "server.py"),
+            stdout=asyncio.subprocess.PIPE,
+            preexec_fn=end_with_parent,
         )
         assert self.process.stdout is not None
         port = int(await self.process.stdout.readline())
@@ -156,6 +161,7 @@
             await asyncio.sleep(HANG_S)
             servers[1].signal(signal.SIGCONT)
         await asyncio.gather(*tasks)
+        agent.check_running()
     finally:
         for task in tasks:
             task.cancel()
--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import shutil
@@ -28,6 +29,15 @@
 LATE_S = 0.5  # STANDING: up to half a second after its time an answer only earns nothing
 
 
+PR_SET_PDEATHSIG = 1  # prctl(2)
+LIBC = ctypes.CDLL(None)
+
+
+def end_with_parent() -> None:
+    """Have the kernel kill this process, a child about to start its program, when the case's process ends."""
+    LIBC.prctl(PR_SET_PDEATHSIG, int(signal.SIGKILL))
+
+
 class CannotRun(Exception):
     """The case could not be carried out; this says nothing of the rule."""
 
@@ -165,7 +175,14 @@
         }
         with (self.folder / "log.txt").open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
-                "/bin/sh", "-c", run, cwd=ROOT, env=environment, stdout=log, stderr=log
+                "/bin/sh",
+                "-c",
+                run,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=end_with_parent,
             )
         address, path = (
             (self.control, "/ready") if self.control else (self.settings["listen"], "/health/ready")
@@ -195,6 +212,11 @@
         self.record(f"{self.name}: gets {signal.Signals(number).name}")
         self.process.send_signal(number)
 
+    def check_running(self) -> None:
+        """Raise CannotRun if the process has ended by itself."""
+        if self.process is None or self.process.returncode is not None:
+            raise CannotRun(f"{self.name} has ended by itself")
+
     async def end(self) -> None:
         """Kill the process if it still runs, and wait for its end."""
         if self.process is not None:
@@ -359,6 +381,10 @@
     scratch = Path(tempfile.mkdtemp(prefix="review-"))
 
     async def limited() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(limit_s):
             return await case(scratch, record, trouble)
 
@@ -368,7 +394,7 @@
         record(f"cannot run: {fault}")
         print(f"cannot run: {fault}")
         sys.exit(2)
-    except Exception as fault:
+    except (Exception, asyncio.CancelledError) as fault:
         record(f"cannot run: {type(fault).__name__}: {fault}")
         print(f"cannot run: {type(fault).__name__}: {fault}")
         sys.exit(2)
