Log how long clients were not read in the middle of a body, and what for

Waits of 0.1 s and more in which a client is not read are now counted by reason (`waited room`, `waited server`), the last one with its length, what the bodies hold and how much of the body had come.

--- a/sorrelfront/events.py
+++ b/sorrelfront/events.py
@@ -21,6 +21,7 @@
     RETRIED = "retried"
     ATTEMPT = "attempt"  # an attempt that ended without an answer to pass on
     CLOSED = "closed"
+    WAITED = "waited"  # a client was not read for a noticeable time
 
 
 class EventCounter:
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -54,6 +54,7 @@
 REQUEST_TIMEOUT_S = 2.4
 # A body that arrives at MIN_UPLOAD_RATE or faster may take longer if no pause in it exceeds this.
 MAX_BODY_PAUSE_S = 1.0
+MIN_COUNTED_WAIT_S = 0.1  # a wait in which a client is not read is counted in the log from here on
 # Idle timeout between requests. Without it, clients that send one request and stay would hold a descriptor
 # each, here and on their hosts, where descriptors are limited too: a later request would find none. The cost:
 # clients with infrequent requests reconnect.
@@ -126,6 +127,13 @@
     BAD_REQUEST = "bad-request"  # it cannot be parsed, is not allowed, or is too long
 
 
+class WaitReason(StrEnum):
+    """What a client was not read for, in the middle of its body."""
+
+    ROOM = "room"  # memory for more of the body
+    SERVER = "server"  # the server, or the attempt, that takes the body
+
+
 class RequestHandler(Protocol):
     """What the front hands requests to."""
 
@@ -792,7 +800,16 @@
         """
         if self._pending and share.may_block():
             raise BadRequest(503, "no room for a body behind requests that wait")
-        await share.wait_for_room()
+        began = time.monotonic()
+        try:
+            await share.wait_for_room()
+        finally:
+            self._count_wait(WaitReason.ROOM, time.monotonic() - began, self._listener.bodies.describe())
+
+    def _count_wait(self, reason: WaitReason, seconds: float, detail: str = "") -> None:
+        """Count, for the log, a wait in which the client was not read, with its length as the example."""
+        if seconds >= MIN_COUNTED_WAIT_S:
+            self._agent.events.add(Event.WAITED, reason, f"{seconds:.3f} s {detail}".rstrip())
 
     def _note_progress(self, received: int) -> None:
         """Extend the deadline of a body of which this many bytes have arrived fast enough.
@@ -812,6 +829,9 @@
             await upload.wait_for_room()
         finally:
             waited = time.monotonic() - began
+            self._count_wait(
+                WaitReason.SERVER, waited, f"{upload.received} of {upload.length} bytes received"
+            )
             self._body_started += waited
             self._deadline = until + waited
 
--- a/sorrelfront/net/budget.py
+++ b/sorrelfront/net/budget.py
@@ -51,6 +51,10 @@
         self.max_bytes = max(MIN_BODY_MEMORY, int((memory_bytes - BASE_MEMORY) * BODY_MEMORY_SHARE))
         self._freed.set()
 
+    def describe(self) -> str:
+        """Return for the log what is held, of how much, and how many incomplete bodies want more."""
+        return f"{self.held} of {self.max_bytes} bytes, {len(self._growing)} incomplete"
+
     def share(self) -> BodyShare:
         """Return an empty share for one message."""
         return BodyShare(self)
