A request rejected while it is read ends its connection in the client's view too

A body that found no room behind a pending request was answered 503 without `Connection: close`, and everything after it on the connection was discarded: the client's next request there would never be answered.

Cause: for a BadRequest the reader always stops reading requests (`last = True`), but the answer said so only for statuses other than 503, which is meant for readiness checks. Now it always says so.

Test: tests/net/test_body_room.py, a refusal without room behind another request; it failed before (503 with no `connection: close` in its head).

--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -720,7 +720,8 @@
                     rest = parser.trailing_data[0]
             except BadRequest as bad:
                 self._agent.events.add(Event.REFUSED, RejectReason.BAD_REQUEST)
-                self._enqueue_text(parser, bad.status, str(bad))
+                # What follows is discarded, so the answer says that it is the last one.
+                self._enqueue_text(parser, bad.status, str(bad), last=True)
                 last = True
             # Otherwise these names keep the bytes of the request in memory while the connection is idle.
             data, plain = b"", None
