A client's time runs while its body waits for memory, and ends that wait

Cause: a body over 4 kB that comes in more than one read waits for room in the memory budget, unread. Its head has been parsed by then, but nobody looked at its X-Budget: the wait was ended by the time-out of an incomplete request alone, 2.4 s after its first byte, with a 408; and a request that got room was given its whole time again, since that counts from when the last byte is read.

Ruled out: the event loop (idle), the accept queue, the servers (250 ms each).

Change: UnreadTime bounds how much of a client's time may have passed while it was not read. Pauses in reading count where the missing rest of the body fits into the kernels' buffers, and no pause before a read that had to wait for the client, for its last byte was not written then. The wait for room ends with the client's time, at once and with a 503 (nothing was sent, so a repeat is safe), and what was waited is taken off the time that the agent and the server get. A request rejected while it is read releases its share of the memory at once and not when its connection ends.

That works because the time counted is at least the time since the last byte: the client cannot be owed an answer before the bound passes its X-Budget.

Tests: tests/net/test_body_room.py. Before: 408 in place of 503 (length and chunked), and a server told 3,994,348 us where 3,498,862 were left.

--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -21,11 +21,11 @@
 
 import h11
 
-from sorrelfront.agent import MIN_UPLOAD_RATE, PendingRequest, discard_answer
+from sorrelfront.agent import DEADLINE_MARGIN_US, MIN_UPLOAD_RATE, PendingRequest, discard_answer
 from sorrelfront.decisions.interface import Effect, RequestClass
 from sorrelfront.events import Event, EventCounter
 from sorrelfront.messages import Address, Answer, Call, FinalAnswer, Headers, Refused, Stream
-from sorrelfront.net.bodies import Upload
+from sorrelfront.net.bodies import CLIENT_IDLE_S, UnreadTime, Upload
 from sorrelfront.net.budget import MAX_BUFFERED_BODY, MAX_STREAMED_BODY, BodyBudget, BodyShare, Descriptors
 from sorrelfront.net.heads import HEAD_END, MAX_HEAD_BYTES, RequestHead, frame_message, request_head
 from sorrelfront.net.http import (
@@ -78,14 +78,6 @@
 BUDGET_UNITS_US = {b"m": 1000.0, b"u": 1.0}
 
 
-class BadRequest(Exception):
-    """A request that is rejected before it reaches the module, and the status that answers it."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-
-
 class Head(Protocol):
     """What this module reads of the head of a request, whichever parser made it."""
 
@@ -127,6 +119,15 @@
     BAD_REQUEST = "bad-request"  # it cannot be parsed, is not allowed, or is too long
 
 
+class BadRequest(Exception):
+    """A request that is rejected before it reaches the module, with the status and the reason."""
+
+    def __init__(self, status: int, text: str, reason: RejectReason = RejectReason.BAD_REQUEST) -> None:
+        super().__init__(text)
+        self.status = status
+        self.reason = reason
+
+
 class WaitReason(StrEnum):
     """What a client was not read for, in the middle of its body."""
 
@@ -544,7 +545,7 @@
     __slots__ = (
         "__weakref__", "_abort", "_agent", "_answered_last", "_blank_bytes", "_body_started", "_deadline",
         "_discarding", "_had_request", "_idle_since", "_linger", "_listener", "_partial", "_pending",
-        "_share", "_task", "_upload", "_writer", "waited_us", "wire",
+        "_share", "_task", "_unread", "_upload", "_writer", "waited_us", "wire",
     )  # fmt: skip
 
     def __init__(self, listener: Listener, wire: Wire) -> None:
@@ -562,6 +563,7 @@
         self._discarding = False  # input is read and discarded from now on
         self._upload: Upload | None = None  # the body that is being streamed
         self._body_started = 0.0  # when the body that is being read started
+        self._unread: UnreadTime | None = None  # of that body
         self._deadline = (
             time.monotonic() + REQUEST_TIMEOUT_S
         )  # for a whole request, or if idle, for the next to start
@@ -674,8 +676,7 @@
             self._listener.uploading.discard(self)
         if self._linger is not None:
             self._linger.cancel()
-        if self._share is not None:
-            self._share.release()
+        self._release_share()
         for pending in self._pending:
             self._abandon(pending)
         self._pending.clear()
@@ -684,6 +685,12 @@
         self.wire.close(self._abort)
         self._listener.closed(self)
 
+    def _release_share(self) -> None:
+        """Release what the request that is being read holds of the memory budget."""
+        if self._share is not None:
+            self._share.release()
+            self._share = None
+
     def _close_reason(self) -> CloseReason:
         """Return why the connection closes, if its task has ended by itself."""
         if self._abort:
@@ -719,7 +726,8 @@
                     last = await self._read_with_h11(parser, data)
                     rest = parser.trailing_data[0]
             except BadRequest as bad:
-                self._agent.events.add(Event.REFUSED, RejectReason.BAD_REQUEST)
+                self._agent.events.add(Event.REFUSED, bad.reason)
+                self._release_share()
                 # What follows is discarded, so the answer says that it is the last one.
                 self._enqueue_text(parser, bad.status, str(bad), last=True)
                 last = True
@@ -773,9 +781,10 @@
         share.add(len(body))
         rest = data[end:]
         self._body_started = time.monotonic()
+        unread = self._unread = UnreadTime(head.length)
         while len(body) < min(head.length, MAX_BUFFERED_BODY):
-            await self._wait_for_room(share)
-            received = await self._receive()
+            await self._wait_for_room(share, unread, call)
+            received = await self._receive_body(unread)
             missing = head.length - len(body)
             rest = received[missing:]
             share.add(min(len(received), missing))
@@ -792,20 +801,42 @@
         self._finish_upload()
         return head.last, rest
 
-    async def _wait_for_room(self, share: BodyShare) -> None:
-        """Wait until more of a body may be buffered.
+    async def _wait_for_room(self, share: BodyShare, unread: UnreadTime, call: Call | None) -> None:
+        """Wait until more of a body may be buffered; the client's time runs meanwhile.
 
         A client that is not read meanwhile is not seen to disconnect, and its earlier requests would be
         retried for nobody. The cost: where memory is short, a client that pipelines a long body behind
         pending requests gets an error for it.
+
+        Raises BadRequest if there is no room before the client's time, or the time to send, is over.
         """
-        if self._pending and share.may_block():
-            raise BadRequest(503, "no room for a body behind requests that wait")
+        if share.has_room():
+            return
+        if self._pending:
+            raise BadRequest(503, "no room for a body behind requests that wait", RejectReason.NO_ROOM)
         began = time.monotonic()
+        unread.pause(began, share.held)
+        limit_s = self._deadline - began
+        if call is not None and unread.paused:
+            left_s = (call.budget_us - DEADLINE_MARGIN_US) / 1e6 - unread.seconds(began)
+            limit_s = min(limit_s, left_s)
         try:
-            await share.wait_for_room()
+            async with asyncio.timeout(max(0.0, limit_s)):
+                await share.wait_for_room()
+        except TimeoutError:
+            raise BadRequest(503, "no room for the body in time", RejectReason.NO_ROOM) from None
         finally:
-            self._count_wait(WaitReason.ROOM, time.monotonic() - began, self._listener.bodies.describe())
+            now = time.monotonic()
+            unread.resume(now)
+            self._count_wait(WaitReason.ROOM, now - began, self._listener.bodies.describe())
+
+    async def _receive_body(self, unread: UnreadTime) -> bytes:
+        """Return the next bytes of a body."""
+        began = time.monotonic()
+        data = await self._receive()
+        if time.monotonic() - began >= CLIENT_IDLE_S:
+            unread.client_was_read_dry()
+        return data
 
     def _count_wait(self, reason: WaitReason, seconds: float, detail: str = "") -> None:
         """Count, for the log, a wait in which the client was not read, with its length as the example."""
@@ -891,12 +922,12 @@
             if len(self._pending) >= MAX_PIPELINED:
                 raise BadRequest(429, "too many requests at once on one connection")
             call = None if _path(head) == READY_PATH else parse_call(head, self._agent)
-            body = call.payload.body if call else bytearray()
             share = self._share = self._listener.bodies.share()
             lengths = [int(value) for name, value in head.headers if name == b"content-length"]
             if any(length > (MAX_STREAMED_BODY if call else MAX_BUFFERED_BODY) for length in lengths):
                 raise BadRequest(413, "the body is too long")
-            whole = await self._read_body(parser, body, share, call is not None)
+            unread = self._unread = UnreadTime(lengths[0] if lengths else None)
+            whole = await self._read_body(parser, share, unread, call)
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
             raise BadRequest(status, str(error)) from None
@@ -991,11 +1022,16 @@
                 call.payload.body = bytearray()
                 self._partial = True  # until the rest has arrived
                 self._listener.uploading.add(self)
-            call.budget_us -= waited_us
+            call.budget_us -= waited_us + self._unread_us()
             held = self._agent.submit(call)
             self._enqueue(_PendingAnswer(parser, held.answer, share, held, last))
         return self._upload
 
+    def _unread_us(self) -> int:
+        """Return how much of its client's time the body that was read has spent unread, in microseconds."""
+        unread, self._unread = self._unread, None
+        return 0 if unread is None else int(unread.seconds(time.monotonic()) * 1e6)
+
     async def _read_head(self, parser: h11.Connection, rest: bytes) -> h11.Request:
         parser.receive_data(rest)
         while True:
@@ -1018,12 +1054,13 @@
         self._had_request = True
 
     async def _read_body(
-        self, parser: h11.Connection, body: bytearray, share: BodyShare, may_stream: bool
+        self, parser: h11.Connection, share: BodyShare, unread: UnreadTime, call: Call | None
     ) -> bool:
-        """Read a body of up to MAX_BUFFERED_BODY bytes, or the start of a longer one if `may_stream`.
+        """Read a body of up to MAX_BUFFERED_BODY bytes into the call, or the start of a longer one.
 
-        Returns whether it is complete.
+        `call` is None for a readiness check, whose body is dropped. Returns whether the body is complete.
         """
+        body = call.payload.body if call else bytearray()
         self._body_started = time.monotonic()
         if parser.they_are_waiting_for_100_continue and not self._pending:
             reply = parser.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -1038,15 +1075,15 @@
                 share.add(len(event.data))
                 self._note_progress(len(body))
                 if len(body) > MAX_BUFFERED_BODY:
-                    if may_stream:
+                    if call is not None:
                         return False
                     raise BadRequest(413, "the body is too long")
                 chunks += 1
                 if chunks % MAX_CHUNKS_PER_TURN == 0:
                     await asyncio.sleep(0)
             elif event is h11.NEED_DATA:
-                await self._wait_for_room(share)
-                parser.receive_data(await self._receive())
+                await self._wait_for_room(share, unread, call)
+                parser.receive_data(await self._receive_body(unread))
             else:
                 raise _Disconnected
 
--- a/sorrelfront/net/bodies.py
+++ b/sorrelfront/net/bodies.py
@@ -13,6 +13,11 @@
 import asyncio
 import time
 
+# The most of a body that may lie between a client's last write and this process: what the client's kernel
+# keeps to send (Linux, the default maximum of tcp_wmem), and the receive buffer here, doubled by the kernel.
+MAX_UNSEEN_BYTES = 4 * 1024 * 1024 + 2 * 131_072
+CLIENT_IDLE_S = 0.02  # a read that waits for this long shows that the client has not sent everything
+
 
 class BodyAborted(ConnectionError):
     """The rest of a body will not arrive."""
@@ -96,3 +101,59 @@
                 return b""
             self._changed.clear()
             await self._changed.wait()
+
+
+class UnreadTime:
+    """Upper bound on how long a complete request may have lain unread while its client was not read.
+
+    A client's time counts from its last byte. While the client is not read, that byte may lie in a kernel's
+    buffer, unseen, and the client's time runs. So each pause in reading counts, but for two kinds. Before the
+    rest of the body fits into the kernels' buffers, its last byte cannot have been written. And once a read
+    has to wait for the client, the last byte was not written during any pause before.
+
+    All times are seconds on the monotonic clock.
+    """
+
+    __slots__ = ("_earlier", "_length", "_paused_at", "_recent", "_span")
+
+    def __init__(self, length: int | None) -> None:
+        """Start for a body of this length in bytes, None if it is not declared."""
+        self._length = length
+        self._paused_at: float | None = None
+        # The pauses while the last MAX_UNSEEN_BYTES bytes or more were read: those of the current span of so
+        # many bytes, and of the span before it.
+        self._recent = self._earlier = 0.0
+        self._span = 0
+
+    def pause(self, now: float, received: int) -> None:
+        """Note that the client is not read from now on, with so many bytes of the body received."""
+        if self._length is not None:
+            if self._length - received <= MAX_UNSEEN_BYTES:
+                self._paused_at = now
+            return
+        span = received // MAX_UNSEEN_BYTES
+        if span != self._span:
+            self._earlier = self._recent if span == self._span + 1 else 0.0
+            self._recent = 0.0
+            self._span = span
+        self._paused_at = now
+
+    def resume(self, now: float) -> None:
+        """Note that the client is read again."""
+        if self._paused_at is not None:
+            self._recent += now - self._paused_at
+            self._paused_at = None
+
+    def client_was_read_dry(self) -> None:
+        """Note that a read has waited for the client: what it had written was read by then."""
+        self._recent = self._earlier = 0.0
+
+    @property
+    def paused(self) -> bool:
+        """Whether the time counts now."""
+        return self._paused_at is not None
+
+    def seconds(self, now: float) -> float:
+        """Return for how long the complete request may have lain unread so far."""
+        current = 0.0 if self._paused_at is None else now - self._paused_at
+        return self._earlier + self._recent + current
--- a/sorrelfront/net/budget.py
+++ b/sorrelfront/net/budget.py
@@ -98,9 +98,9 @@
         if self.held >= SMALL_BODY:
             await self._budget.wait_for_room(self)
 
-    def may_block(self) -> bool:
-        """Return whether `wait_for_room` might wait."""
-        return self.held >= SMALL_BODY and self._budget.held + MAX_BUFFERED_BODY >= self._budget.max_bytes
+    def has_room(self) -> bool:
+        """Return whether `wait_for_room` returns at once, whichever body is the oldest."""
+        return self.held < SMALL_BODY or self._budget.held + MAX_BUFFERED_BODY < self._budget.max_bytes
 
     def add(self, count: int) -> None:
         """Account for `count` more buffered bytes."""
--- a/tests/net/test_body_room.py
+++ b/tests/net/test_body_room.py
@@ -3,21 +3,78 @@
 from __future__ import annotations
 
 import asyncio
+import re
+import time
 
+import pytest
+
+from sorrelfront.events import Event
+from sorrelfront.fronts.http1 import RejectReason
+from sorrelfront.net.bodies import MAX_UNSEEN_BYTES, UnreadTime
 from sorrelfront.net.budget import BodyShare
-from tests.loopback import AgentHarness, Backend, answer, async_test, request, running_agent
+from tests.loopback import AgentHarness, Backend, Client, answer, async_test, request, running_agent, until
 
 OK = answer(b"served")
 BODY = bytes(24_000)
 FIRST = 12_000  # bytes of a request that are read before memory is short
 
 
+def chunked(name: str, budget: str) -> bytes:
+    head = request(name, "book", budget=budget).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    return head + b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
+
+
 def use_all_room(made: AgentHarness) -> BodyShare:
     share = made.listener.bodies.share()
     share.add(made.listener.bodies.max_bytes)
     return share
 
 
+async def send_in_two(made: AgentHarness, client: Client, data: bytes) -> BodyShare:
+    """Send a request of which only the first part is read; the share returned takes all the memory."""
+    share = use_all_room(made)
+    client.send(data[:FIRST])
+    await until(lambda: made.listener.bodies.held > share.held)
+    client.send(data[FIRST:])
+    await client.writer.drain()
+    return share
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_a_body_without_room_is_refused_within_its_clients_time(framing: str) -> None:
+    """Guards against a request without an answer in time, since other clients' bodies hold the memory."""
+
+    async def scenario() -> None:
+        backend = await Backend(OK).start()
+        async with running_agent(backend) as made:
+            client = await made.client()
+            data = chunked("r", "300m") if framing == "chunked" else request("r", "book", BODY, "300m")
+            await send_in_two(made, client, data)
+            status, head, _ = await client.answer()
+            assert status == 503 and b"connection: close" in head.lower()
+            assert made.agent.events.count(Event.REFUSED, RejectReason.NO_ROOM) == 1
+            assert not backend.received
+            assert await client.wait_closed()
+
+    asyncio.run(scenario())
+
+
+@async_test
+async def test_the_wait_for_room_is_not_given_to_the_server_again() -> None:
+    """Guards against a server that is told, and an agent that waits for, time that is not left."""
+    backend = await Backend(OK).start()
+    async with running_agent(backend) as made:
+        client = await made.client()
+        share = await send_in_two(made, client, request("r", "book", BODY, "4000m"))
+        began = time.monotonic()
+        await asyncio.sleep(0.5)
+        waited_us = (time.monotonic() - began) * 1e6
+        share.release()
+        assert (await client.answer())[0] == 200
+        told = re.search(rb"x-budget: (\d+)u", backend.received[0].lower())
+        assert told is not None and int(told[1]) <= 4_000_000 - waited_us
+
+
 @async_test
 async def test_a_refusal_without_room_behind_another_request_ends_the_connection() -> None:
     """Guards against a next request that is discarded without an answer."""
@@ -38,3 +95,29 @@
         assert (await client.answer())[0] == 200
         status, head, _ = await client.answer()
         assert status == 503 and b"connection: close" in head.lower()
+
+
+def test_a_pause_counts_only_where_the_last_byte_may_have_been_written() -> None:
+    length = MAX_UNSEEN_BYTES + 1_000
+    unread = UnreadTime(length)
+    unread.pause(10.0, 999)  # more is missing than kernels hold
+    assert unread.seconds(13.0) == 0.0
+    unread.resume(13.0)
+    unread.pause(20.0, 1_000)
+    assert unread.seconds(21.0) == 1.0
+    unread.resume(22.0)
+    unread.pause(30.0, length - 1)
+    assert unread.seconds(31.0) == 3.0
+    unread.resume(31.0)
+    unread.client_was_read_dry()
+    assert unread.seconds(40.0) == 0.0
+
+
+def test_of_a_body_without_a_length_the_pauses_at_its_end_count() -> None:
+    unread = UnreadTime(None)
+    for span in range(4):
+        unread.pause(10.0 * span, span * MAX_UNSEEN_BYTES)
+        unread.resume(10.0 * span + 1.0)
+    assert unread.seconds(40.0) == 2.0
+    unread.pause(50.0, 9 * MAX_UNSEEN_BYTES)
+    assert unread.seconds(50.5) == 0.5
