Stalled bodies make room for those that come, and free it as they are rejected

Cause: a body whose client has sent nothing more waited for room like one whose bytes lie in the kernel, held the reserve that is meant for the oldest body that can still grow, and kept its bytes for the 2.4 s of an incomplete request; one that was rejected kept them until its client had closed, up to 1 s more. With 255 such clients of 63,000 bytes the budget of 14.4 MB is over-full for good: each that is turned away comes back.

Ruled out: the servers (idle), descriptors (no eviction of a usual client), the accept queue.

Change: a body whose client has sent nothing more is stalled: it waits for its client first and for room afterwards, and holds no reserve. Where a body with bytes to be read finds no room, bodies that have been stalled for the longest time, 0.25 s at least (a lost packet comes again after 0.2 s), are ended until it fits: with a 503 as their last byte was never sent, a streamed one as at its time-out, by a reset. Before one is ended, its socket is looked at once more. A request that is rejected while it is read frees its bytes at once.

That works because a body that can be read and one that cannot are told apart by the kernel's buffer, so room always goes to a request that can become complete.

Related paths: bodies that are streamed hold their first 64 KiB in the same way and are ended in the same way; chunked ones are read by the same code.

Tests: tests/net/test_body_room.py: stalled bodies make room (64,000 bytes buffered, 100,000 streamed): 503 in place of 200 before; a rejected body frees its room: 63,000 bytes held before; bodies that wait unread are not taken for stalled.

--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -11,12 +11,12 @@
 import struct
 import time
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Coroutine, Iterable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 from functools import partial
 from itertools import chain, islice
-from typing import Protocol
+from typing import Any, Protocol, TypeVar
 from urllib.parse import parse_qs, unquote
 
 import h11
@@ -73,6 +73,8 @@
 SHUTDOWN_MARGIN_S = 0.55
 LAST_ANSWERS_S = 0.08  # of the time left before SIGKILL, for clients to read the final answers
 
+T = TypeVar("T")
+
 TOKEN = re.compile(rb"[!-~]{1,128}")
 BUDGET = re.compile(rb"(\d{1,12}(?:\.\d{1,6})?)([mu])")
 BUDGET_UNITS_US = {b"m": 1000.0, b"u": 1.0}
@@ -115,6 +117,7 @@
 
     INCOMPLETE = "incomplete"  # it did not arrive in time
     NO_ROOM = "no-room"
+    STALLED = "stalled"  # it stopped in the middle of its body while others needed the memory
     GOING_AWAY = "going-away"
     BAD_REQUEST = "bad-request"  # it cannot be parsed, is not allowed, or is too long
 
@@ -187,6 +190,26 @@
     last: bool = False  # no request after this one is read
 
 
+@dataclass(slots=True)
+class _IncomingBody:
+    """The body of the request that is being read."""
+
+    share: BodyShare
+    data: bytearray  # what is buffered of it
+    unread: UnreadTime
+    began: float  # monotonic seconds, later by the time in which it could not arrive
+
+    def add(self, received: bytes | bytearray) -> None:
+        """Buffer received bytes."""
+        self.data += received
+        self.share.add(len(received))
+
+    def drop(self) -> None:
+        """Free what is buffered: nobody will use it."""
+        self.share.release()
+        self.data.clear()
+
+
 class Listener:
     """A listening socket and all client connections accepted from it."""
 
@@ -543,9 +566,9 @@
     """
 
     __slots__ = (
-        "__weakref__", "_abort", "_agent", "_answered_last", "_blank_bytes", "_body_started", "_deadline",
-        "_discarding", "_had_request", "_idle_since", "_linger", "_listener", "_partial", "_pending",
-        "_share", "_task", "_unread", "_upload", "_writer", "waited_us", "wire",
+        "__weakref__", "_abort", "_agent", "_answered_last", "_blank_bytes", "_deadline", "_discarding",
+        "_had_request", "_idle_since", "_incoming", "_linger", "_listener", "_partial", "_pending",
+        "_task", "_upload", "_writer", "waited_us", "wire",
     )  # fmt: skip
 
     def __init__(self, listener: Listener, wire: Wire) -> None:
@@ -554,7 +577,7 @@
         self._listener = listener
         self._agent = listener.agent
         self._pending: list[_PendingAnswer] = []  # at most MAX_PIPELINED
-        self._share: BodyShare | None = None  # of the request that is being read
+        self._incoming: _IncomingBody | None = None  # until the request is accepted, or its upload complete
         self._partial = False  # part of a request has arrived
         self._had_request = False  # a request has started on this connection
         self._blank_bytes = 0  # of empty lines since the last request
@@ -562,8 +585,6 @@
         self._answered_last = False
         self._discarding = False  # input is read and discarded from now on
         self._upload: Upload | None = None  # the body that is being streamed
-        self._body_started = 0.0  # when the body that is being read started
-        self._unread: UnreadTime | None = None  # of that body
         self._deadline = (
             time.monotonic() + REQUEST_TIMEOUT_S
         )  # for a whole request, or if idle, for the next to start
@@ -625,7 +646,8 @@
         here or on its way.
         """
         self._deadline += seconds
-        self._body_started += seconds
+        if self._incoming is not None:
+            self._incoming.began += seconds
 
     def check_timeout(self, now: float) -> None:
         """On timeout, answer with an error if part of a request has arrived, otherwise close."""
@@ -651,6 +673,7 @@
     def reject(self, status: int, text: str, reason: RejectReason) -> None:
         """Answer a partial request, as the last one; the rest of it is read and discarded."""
         self._agent.events.add(Event.REFUSED, reason)
+        self._drop_incoming()
         self._discarding = True
         self._enqueue_text(None, status, text, last=True)
 
@@ -676,7 +699,7 @@
             self._listener.uploading.discard(self)
         if self._linger is not None:
             self._linger.cancel()
-        self._release_share()
+        self._drop_incoming()
         for pending in self._pending:
             self._abandon(pending)
         self._pending.clear()
@@ -685,11 +708,11 @@
         self.wire.close(self._abort)
         self._listener.closed(self)
 
-    def _release_share(self) -> None:
-        """Release what the request that is being read holds of the memory budget."""
-        if self._share is not None:
-            self._share.release()
-            self._share = None
+    def _drop_incoming(self) -> None:
+        """Free what is buffered of the request that is being read."""
+        if self._incoming is not None:
+            self._incoming.drop()
+            self._incoming = None
 
     def _close_reason(self) -> CloseReason:
         """Return why the connection closes, if its task has ended by itself."""
@@ -727,7 +750,7 @@
                     rest = parser.trailing_data[0]
             except BadRequest as bad:
                 self._agent.events.add(Event.REFUSED, bad.reason)
-                self._release_share()
+                self._drop_incoming()
                 # What follows is discarded, so the answer says that it is the last one.
                 self._enqueue_text(parser, bad.status, str(bad), last=True)
                 last = True
@@ -774,34 +797,37 @@
         call = None if _path(head) == READY_PATH else parse_call(head, self._agent)
         if head.length > MAX_STREAMED_BODY or (call is None and head.length > MAX_BUFFERED_BODY):
             raise BadRequest(413, "the body is too long")
-        body = call.payload.body if call else bytearray()
-        share = self._share = self._listener.bodies.share()
+        incoming = self._begin_body(call, head.length)
         end = at + head.length
-        body += data[at:end]
-        share.add(len(body))
+        incoming.add(data[at:end])
         rest = data[end:]
-        self._body_started = time.monotonic()
-        unread = self._unread = UnreadTime(head.length)
-        while len(body) < min(head.length, MAX_BUFFERED_BODY):
-            await self._wait_for_room(share, unread, call)
-            received = await self._receive_body(unread)
-            missing = head.length - len(body)
+        while len(incoming.data) < min(head.length, MAX_BUFFERED_BODY):
+            await self._wait_for_room(incoming, call)
+            received = await self._receive_body(incoming)
+            missing = head.length - len(incoming.data)
             rest = received[missing:]
-            share.add(min(len(received), missing))
-            body += received[:missing]
-            self._note_progress(len(body))
-        upload = self._take(None, call, share, head.last, head.length if len(body) < head.length else -1)
+            incoming.add(received[:missing])
+            self._note_progress(incoming, len(incoming.data))
+        streamed_length = head.length if len(incoming.data) < head.length else -1
+        upload = self._take(None, call, incoming.share, head.last, streamed_length)
         while upload is not None and upload.received < head.length:
-            await self._wait_for_upload(upload)
-            received = await self._receive()
+            await self._wait_for_upload(incoming, upload)
+            received = await self._receive_body(incoming)
             missing = head.length - upload.received
             rest = received[missing:]
             upload.feed(received[:missing])
-            self._note_progress(upload.received)
+            self._note_progress(incoming, upload.received)
         self._finish_upload()
         return head.last, rest
 
-    async def _wait_for_room(self, share: BodyShare, unread: UnreadTime, call: Call | None) -> None:
+    def _begin_body(self, call: Call | None, length: int | None) -> _IncomingBody:
+        """Begin to read a body into the call; that of a readiness check (None) is read and dropped."""
+        data = bytearray() if call is None else call.payload.body
+        incoming = _IncomingBody(self._listener.bodies.share(), data, UnreadTime(length), time.monotonic())
+        self._incoming = incoming
+        return incoming
+
+    async def _wait_for_room(self, incoming: _IncomingBody, call: Call | None) -> None:
         """Wait until more of a body may be buffered; the client's time runs meanwhile.
 
         A client that is not read meanwhile is not seen to disconnect, and its earlier requests would be
@@ -810,12 +836,17 @@
 
         Raises BadRequest if there is no room before the client's time, or the time to send, is over.
         """
+        share, unread = incoming.share, incoming.unread
         if share.has_room():
             return
         if self._pending:
             raise BadRequest(503, "no room for a body behind requests that wait", RejectReason.NO_ROOM)
+        # A client that has sent nothing further needs no room yet.
+        await self._wait_for_client(incoming, self.wire.wait_for_input())
+        if self._discarding or self.wire.hung_up():
+            return
         began = time.monotonic()
-        unread.pause(began, share.held)
+        unread.pause(began, len(incoming.data))
         limit_s = self._deadline - began
         if call is not None and unread.paused:
             left_s = (call.budget_us - DEADLINE_MARGIN_US) / 1e6 - unread.seconds(began)
@@ -830,30 +861,51 @@
             unread.resume(now)
             self._count_wait(WaitReason.ROOM, now - began, self._listener.bodies.describe())
 
-    async def _receive_body(self, unread: UnreadTime) -> bytes:
+    async def _receive_body(self, incoming: _IncomingBody) -> bytes:
         """Return the next bytes of a body."""
+        return await self._wait_for_client(incoming, self._receive())
+
+    async def _wait_for_client(self, incoming: _IncomingBody, arrival: Coroutine[Any, Any, T]) -> T:
+        """Wait for more of a body to arrive; the body counts as stalled meanwhile."""
         began = time.monotonic()
-        data = await self._receive()
+        incoming.share.stall(self._end_stalled)
+        try:
+            arrived = await arrival
+        finally:
+            incoming.share.resume()
         if time.monotonic() - began >= CLIENT_IDLE_S:
-            unread.client_was_read_dry()
-        return data
+            incoming.unread.client_was_read_dry()
+        return arrived
+
+    def _end_stalled(self) -> bool:
+        """End a request that has stopped in the middle of its body, unless more has arrived meanwhile."""
+        if not self.wire.nothing_unread():
+            return False
+        if self._upload is not None and self._incoming is not None:
+            self._incoming.share.release()
+            self._abort_connection()  # its answer is pending, and no server has the last byte
+        elif self.unfinished:
+            self.reject(503, "no room for a body that does not come", RejectReason.STALLED)
+        else:
+            return False
+        return True
 
     def _count_wait(self, reason: WaitReason, seconds: float, detail: str = "") -> None:
         """Count, for the log, a wait in which the client was not read, with its length as the example."""
         if seconds >= MIN_COUNTED_WAIT_S:
             self._agent.events.add(Event.WAITED, reason, f"{seconds:.3f} s {detail}".rstrip())
 
-    def _note_progress(self, received: int) -> None:
+    def _note_progress(self, incoming: _IncomingBody, received: int) -> None:
         """Extend the deadline of a body of which this many bytes have arrived fast enough.
 
         Without this, a client that sends a long body as fast as it can would time out. With any progress
         counted, one that sends a byte now and then would keep its place forever.
         """
         now = time.monotonic()
-        if received >= MIN_UPLOAD_RATE * (now - self._body_started):
+        if received >= MIN_UPLOAD_RATE * (now - incoming.began):
             self._deadline = max(self._deadline, now + MAX_BODY_PAUSE_S)
 
-    async def _wait_for_upload(self, upload: Upload) -> None:
+    async def _wait_for_upload(self, incoming: _IncomingBody, upload: Upload) -> None:
         """Wait until the server reads more of the body; the client's deadline is extended by that time."""
         began, until = time.monotonic(), self._deadline
         self._deadline = math.inf
@@ -864,7 +916,7 @@
             self._count_wait(
                 WaitReason.SERVER, waited, f"{upload.received} of {upload.length} bytes received"
             )
-            self._body_started += waited
+            incoming.began += waited
             self._deadline = until + waited
 
     def _finish_upload(self) -> None:
@@ -872,6 +924,7 @@
         upload, self._upload = self._upload, None
         if upload is None:
             return
+        self._incoming = None
         self._listener.uploading.discard(self)
         self._partial = False
         upload.end()
@@ -922,28 +975,27 @@
             if len(self._pending) >= MAX_PIPELINED:
                 raise BadRequest(429, "too many requests at once on one connection")
             call = None if _path(head) == READY_PATH else parse_call(head, self._agent)
-            share = self._share = self._listener.bodies.share()
             lengths = [int(value) for name, value in head.headers if name == b"content-length"]
             if any(length > (MAX_STREAMED_BODY if call else MAX_BUFFERED_BODY) for length in lengths):
                 raise BadRequest(413, "the body is too long")
-            unread = self._unread = UnreadTime(lengths[0] if lengths else None)
-            whole = await self._read_body(parser, share, unread, call)
+            incoming = self._begin_body(call, lengths[0] if lengths else None)
+            whole = await self._read_body(parser, incoming, call)
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
             raise BadRequest(status, str(error)) from None
         if whole:
             last = parser.their_state is h11.MUST_CLOSE
-            self._take(parser, call, share, last)
+            self._take(parser, call, incoming.share, last)
             return last
         last = head.http_version != b"1.1" or any(
             name == b"connection" and b"close" in value.lower() for name, value in head.headers
         )
-        upload = self._take(parser, call, share, last, lengths[0] if lengths else None)
+        upload = self._take(parser, call, incoming.share, last, lengths[0] if lengths else None)
         assert upload is not None
-        await self._stream_upload(parser, upload)
+        await self._stream_upload(parser, incoming, upload)
         return last
 
-    async def _stream_upload(self, parser: h11.Connection, upload: Upload) -> None:
+    async def _stream_upload(self, parser: h11.Connection, incoming: _IncomingBody, upload: Upload) -> None:
         """Stream the rest of a body that is not plain.
 
         Any error in it aborts the connection: its answer is already pending, and its server does not have the
@@ -957,16 +1009,16 @@
                     self._finish_upload()
                     return
                 if isinstance(event, h11.Data):
-                    await self._wait_for_upload(upload)
+                    await self._wait_for_upload(incoming, upload)
                     upload.feed(bytes(event.data))
-                    self._note_progress(upload.received)
+                    self._note_progress(incoming, upload.received)
                     if upload.received > MAX_STREAMED_BODY:
                         break
                     chunks += 1
                     if chunks % MAX_CHUNKS_PER_TURN == 0:
                         await asyncio.sleep(0)
                 elif event is h11.NEED_DATA:
-                    parser.receive_data(await self._receive())
+                    parser.receive_data(await self._receive_body(incoming))
                 else:
                     break
         except h11.RemoteProtocolError:
@@ -998,7 +1050,7 @@
             BadRequest: A request with this id is in flight.
             _Disconnected: The client has gone.
         """
-        self._share = None
+        incoming, self._incoming = self._incoming, None
         self._partial = False
         waited_us, self.waited_us = self.waited_us, 0
         share.complete()
@@ -1018,20 +1070,18 @@
                 raise _Disconnected
             call.client_gone = self.wire.hung_up
             if length != -1:
+                assert incoming is not None
                 call.upload = self._upload = Upload(call.payload.body, length)
-                call.payload.body = bytearray()
+                call.payload.body = incoming.data = bytearray()
+                self._incoming = incoming
                 self._partial = True  # until the rest has arrived
                 self._listener.uploading.add(self)
-            call.budget_us -= waited_us + self._unread_us()
+            unread_s = 0.0 if incoming is None else incoming.unread.seconds(time.monotonic())
+            call.budget_us -= waited_us + int(unread_s * 1e6)
             held = self._agent.submit(call)
             self._enqueue(_PendingAnswer(parser, held.answer, share, held, last))
         return self._upload
 
-    def _unread_us(self) -> int:
-        """Return how much of its client's time the body that was read has spent unread, in microseconds."""
-        unread, self._unread = self._unread, None
-        return 0 if unread is None else int(unread.seconds(time.monotonic()) * 1e6)
-
     async def _read_head(self, parser: h11.Connection, rest: bytes) -> h11.Request:
         parser.receive_data(rest)
         while True:
@@ -1053,15 +1103,11 @@
             self._deadline = time.monotonic() + REQUEST_TIMEOUT_S
         self._had_request = True
 
-    async def _read_body(
-        self, parser: h11.Connection, share: BodyShare, unread: UnreadTime, call: Call | None
-    ) -> bool:
-        """Read a body of up to MAX_BUFFERED_BODY bytes into the call, or the start of a longer one.
+    async def _read_body(self, parser: h11.Connection, incoming: _IncomingBody, call: Call | None) -> bool:
+        """Read a body of up to MAX_BUFFERED_BODY bytes, or the start of a longer one.
 
-        `call` is None for a readiness check, whose body is dropped. Returns whether the body is complete.
+        `call` is None for a readiness check. Returns whether the body is complete.
         """
-        body = call.payload.body if call else bytearray()
-        self._body_started = time.monotonic()
         if parser.they_are_waiting_for_100_continue and not self._pending:
             reply = parser.send(h11.InformationalResponse(status_code=100, headers=[]))
             await self.wire.send(reply or b"", STALL_S)
@@ -1071,10 +1117,9 @@
             if isinstance(event, h11.EndOfMessage):
                 return True
             if isinstance(event, h11.Data):
-                body += event.data
-                share.add(len(event.data))
-                self._note_progress(len(body))
-                if len(body) > MAX_BUFFERED_BODY:
+                incoming.add(event.data)
+                self._note_progress(incoming, len(incoming.data))
+                if len(incoming.data) > MAX_BUFFERED_BODY:
                     if call is not None:
                         return False
                     raise BadRequest(413, "the body is too long")
@@ -1082,8 +1127,8 @@
                 if chunks % MAX_CHUNKS_PER_TURN == 0:
                     await asyncio.sleep(0)
             elif event is h11.NEED_DATA:
-                await self._wait_for_room(share, unread, call)
-                parser.receive_data(await self._receive_body(unread))
+                await self._wait_for_room(incoming, call)
+                parser.receive_data(await self._receive_body(incoming))
             else:
                 raise _Disconnected
 
--- a/sorrelfront/net/http.py
+++ b/sorrelfront/net/http.py
@@ -84,6 +84,22 @@
                     timer.cancel()
         return self._take_received()
 
+    async def wait_for_input(self) -> None:
+        """Wait until input is unread: bytes, an end of stream or an error. Nothing is read."""
+        if not self.nothing_unread():
+            return
+        arrived: asyncio.Future[None] = self._loop.create_future()
+
+        def on_input() -> None:
+            if not arrived.done():
+                arrived.set_result(None)
+
+        self.watch_idle(on_input)
+        try:
+            await arrived
+        finally:
+            self.unwatch_idle()
+
     def receive_now(self) -> bytes:
         """Return what has arrived, without waiting.
 
--- a/tests/net/test_body_room.py
+++ b/tests/net/test_body_room.py
@@ -9,9 +9,11 @@
 import pytest
 
 from sorrelfront.events import Event
+from sorrelfront.fronts import http1 as front
 from sorrelfront.fronts.http1 import RejectReason
+from sorrelfront.net import budget
 from sorrelfront.net.bodies import MAX_UNSEEN_BYTES, UnreadTime
-from sorrelfront.net.budget import BodyShare
+from sorrelfront.net.budget import MAX_BUFFERED_BODY, BodyShare
 from tests.loopback import AgentHarness, Backend, Client, answer, async_test, request, running_agent, until
 
 OK = answer(b"served")
@@ -121,3 +123,76 @@
     assert unread.seconds(40.0) == 2.0
     unread.pause(50.0, 9 * MAX_UNSEEN_BYTES)
     assert unread.seconds(50.5) == 0.5
+
+
+async def stalled_client(made: AgentHarness, name: str, length: int, sent: int) -> Client:
+    """Return a client that has stopped in the middle of a body, all of whose bytes have been read."""
+    client = await made.client()
+    before = made.listener.bodies.held
+    client.send(request(name, "book", bytes(length))[: sent - length])
+    await until(lambda: made.listener.bodies.held >= before + min(sent, MAX_BUFFERED_BODY))
+    return client
+
+
+@pytest.mark.parametrize("length", [64_000, 100_000])
+def test_stalled_bodies_make_room_for_those_that_come(length: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against usual clients refused because clients that stop in the middle of a body hold the memory.
+
+    Bodies that are buffered, and those that are streamed to a server.
+    """
+    monkeypatch.setattr(budget, "MIN_STALL_S", 0.0)
+    monkeypatch.setattr(front, "REQUEST_TIMEOUT_S", 60.0)
+    monkeypatch.setattr(front, "MAX_BODY_PAUSE_S", 60.0)
+
+    async def scenario() -> None:
+        backend = await Backend(OK).start()
+        async with running_agent(backend) as made:
+            bodies = made.listener.bodies
+            stalled = [await stalled_client(made, f"s{at}", length, length - 1_000) for at in range(3)]
+            bodies.max_bytes = bodies.held
+            client = await made.client()
+            data = request("r", "book", BODY, "4000m")
+            client.send(data[:FIRST])
+            await until(lambda: bodies.held > bodies.max_bytes)
+            client.send(data[FIRST:])
+            assert (await client.answer())[0] == 200
+            if length <= MAX_BUFFERED_BODY:
+                status, head, _ = await stalled[0].answer()
+                assert status == 503 and b"connection: close" in head.lower()
+            else:
+                assert await stalled[0].wait_closed()
+            assert not any(body.endswith(bytes(length)) for body in backend.received)
+
+    asyncio.run(scenario())
+
+
+@async_test
+async def test_a_body_that_waits_unread_is_not_taken_for_stalled() -> None:
+    """Guards against usual clients that are ended for each other while all of them wait for room."""
+    backend = await Backend(OK).start()
+    async with running_agent(backend) as made:
+        clients = [await made.client() for _ in range(4)]
+        share = use_all_room(made)
+        data = [request(f"r{at}", "book", BODY) for at in range(4)]
+        for client, whole in zip(clients, data, strict=True):
+            client.send(whole[:FIRST])
+        await until(lambda: made.listener.bodies.held > share.held + 4 * (FIRST - 1_000))
+        for client, whole in zip(clients, data, strict=True):
+            client.send(whole[FIRST:])
+        await until(lambda: len(made.listener.bodies._growing) == 4)
+        await asyncio.sleep(2 * budget.MIN_STALL_S)
+        share.release()
+        for client in clients:
+            assert (await client.answer())[0] == 200
+
+
+@async_test
+async def test_a_rejected_body_frees_its_room_though_its_client_stays(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against memory held for a second more by a client that is told to go and does not."""
+    monkeypatch.setattr(front, "LINGER_S", 60.0)
+    async with running_agent(await Backend(OK).start()) as made:
+        client = await stalled_client(made, "s", 64_000, 63_000)
+        assert (await client.answer())[0] == 408
+        assert made.listener.bodies.held == 0 and made.listener.connections == 1
