--- a/sorrelfront/decisions/balancer.py
+++ b/sorrelfront/decisions/balancer.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from sorrelfront.decisions import interface as api
+from sorrelfront.decisions.circuit_breaker import CircuitBreaker
 from sorrelfront.decisions.discovery_timing import BackOff
 from sorrelfront.decisions.slow_start import SlowStart
 
@@ -39,7 +40,6 @@
 RETRY_AFTER_SHARE = 0.25  # share of its aim that a refused client is told to wait before it retries
 SILENCE_RATIO = 3.0  # intervals between answers that a silence may last: one in twenty is longer by chance
 UNRESPONSIVE_LATENCIES = 8.0  # usual latencies; a server silent for longer is drawn only if all are
-MAX_BREAKER_TIMEOUTS = 16  # upper bound of the breaker's doubling back-off, in connect time-outs
 CAP_TIMEOUTS = 4  # connect time-outs for which the cap holds after a server refused further connections
 
 
@@ -116,29 +116,6 @@
         self.ahead += (ahead - self.ahead) * RECENT_SAMPLE_WEIGHT
 
 
-class CircuitBreaker:
-    """Circuit breaker with a doubling back-off, after which a single trial decides whether it closes."""
-
-    __slots__ = ("failures", "open_until")
-
-    def __init__(self) -> None:
-        self.failures = self.open_until = 0
-
-    def record_failure(self, now: int, unit_us: int) -> None:
-        """Open for a back-off that doubles with each failure, in multiples of `unit_us`."""
-        self.open_until = now + min(MAX_BREAKER_TIMEOUTS, 2**self.failures) * unit_us
-        self.failures = min(self.failures + 1, MAX_BREAKER_TIMEOUTS)
-
-    def reset(self) -> None:
-        """Close after a success."""
-        self.failures = self.open_until = 0
-
-    def start_trial(self, now: int, unit_us: int) -> None:
-        """If it was open, make this attempt the trial: no other until its outcome or the longest back-off."""
-        if self.open_until:
-            self.open_until = now + unit_us * MAX_BREAKER_TIMEOUTS
-
-
 class Server:
     """State of one backend: a peak estimate for picking and a mean for forecasting."""
 
