A client's time runs while its long body waits for a server that takes no bytes

Cause: the deadline of a request whose body is streamed counted from when the agent had read the last byte. A server that takes no bytes keeps the agent from reading its client, and then only the longest pause in a stream (10 s) ended the attempt: the agent's timer allowed the length at 16 kB a second, 62 s for 1 MB. A server that paused for less gave the client its whole time once more.

Evidence: `waited server 3 (last 10.001 s 937482 of 1050000 bytes)`: 112,518 bytes missing, less than the receive buffer; no wait for room, no other wait of 0.1 s. In the record the client's kernel had nothing left to send. Ruled out: memory (none short), connecting (250 ms), the event loop.

Change: the pause is counted by UnreadTime, as for a body that waits for room. The front tells the agent of each pause (`body_paused`); one timer per request, set at its first pause, ends it when its client's time may be over: the balancer is told the deadline (`DeadlineMoved`), the attempt that has not sent its last byte is ended though its server takes nothing, and counts as one that could not be sent, so that the server is left alone for a while and the request is refused, not failed: its last byte was never sent. What lay unread is also taken off the time limit of the attempt, the deadline after the last byte, and the time told to a server. An attempt whose client has no time left sends no last byte.

That works because a pause can hide a last byte only where the rest of the body fits into the kernels' buffers (4.25 MiB), and all pauses from there on count; a read that has to wait for the client takes them back. Bodies of which more is missing keep the 10 s: what is to come cannot have been written.

Related paths: attempts given up on, of requests answered early, or of clients that left, waited for their server for up to 10 s where cancelling is off: they end at once. The gateway of partner sites passes pauses on. Chunked bodies: pauses within the last 4.25 MiB read.

A pause of a server does not end a body that its client still sends: passes before and after.

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -119,7 +119,7 @@
 class PendingRequest:
     """A request in flight: taken, without its final answer yet."""
 
-    __slots__ = ("answer", "attempts", "call", "deadline_timer", "id", "on_answered", "outcome")
+    __slots__ = ("answer", "attempts", "call", "deadline_timer", "id", "latest_at", "on_answered", "outcome")
 
     def __init__(self, number: int, call: Call, answer: asyncio.Future[FinalAnswer]) -> None:
         self.id = number
@@ -128,6 +128,7 @@
         self.attempts = 0
         self.outcome: api.Outcome | None = None  # of the last attempt that ended
         self.deadline_timer: asyncio.TimerHandle | None = None
+        self.latest_at = 0.0  # when it is answered at the latest, on the event loop's clock
         # Called as soon as the answer is set, synchronously
         self.on_answered: Callable[[], None] | None = None
 
@@ -307,9 +308,8 @@
             # which that byte has to arrive.
             longest = MAX_STREAMED_BODY if call.upload.length is None else call.upload.length
             left_us += longest * 1_000_000 // MIN_UPLOAD_RATE
-        held.deadline_timer = self._loop.call_later(
-            (left_us + ANSWER_GRACE_US) / 1e6, self._on_deadline_passed, held
-        )
+        held.latest_at = self._loop.time() + (left_us + ANSWER_GRACE_US) / 1e6
+        self._set_timer(held, held.latest_at, self._on_deadline_passed)
         event = api.Request(
             held.id,
             call.class_name,
@@ -323,17 +323,56 @@
         self._dispatch(self.balancer.on_request, event, held)
         return held
 
+    def _set_timer(self, held: PendingRequest, at: float, callback: Callable[[PendingRequest], None]) -> None:
+        if held.deadline_timer is not None:
+            held.deadline_timer.cancel()
+        held.deadline_timer = self._loop.call_at(at, callback, held)
+
+    def body_paused(self, held: PendingRequest) -> None:
+        """Note that the client of a streamed body is not read until there is room for more of it.
+
+        The body may lie unread to its last byte, so the client's time runs and ends the request if need be.
+        """
+        timer, upload = held.deadline_timer, held.call.upload
+        if held.id not in self._pending or timer is None or upload is None or not upload.unread.paused:
+            return
+        at = self._loop.time() + self._body_time_left_s(held)
+        if at < timer.when():
+            self._set_timer(held, at, self._on_body_time_over)
+
     def body_received(self, held: PendingRequest) -> None:
-        """Record that the last byte of a streamed body has arrived; its deadline counts from now."""
+        """Record that the last byte of a streamed body has arrived.
+
+        Its deadline counts from now, less the time for which that byte may have lain unread.
+        """
         if held.id in self._pending and held.deadline_timer is not None:
-            held.deadline_timer.cancel()
-            left_us = held.call.budget_us - DEADLINE_MARGIN_US + ANSWER_GRACE_US
-            held.deadline_timer = self._loop.call_later(left_us / 1e6, self._on_deadline_passed, held)
-            self._dispatch(
-                self.balancer.on_body_received,
-                api.BodyReceived(held.id, self.now() + left_us - ANSWER_GRACE_US),
-                held,
-            )
+            left_s = self._body_time_left_s(held)
+            self._set_timer(held, self._loop.time() + left_s, self._expire_body)
+            event = api.BodyReceived(held.id, self.now() + int(left_s * 1e6))
+            self._dispatch(self.balancer.on_body_received, event, held)
+
+    def _body_time_left_s(self, held: PendingRequest) -> float:
+        """Return how much is left of the client's time if its body is complete, in seconds."""
+        upload = held.call.upload
+        unread_s = 0.0 if upload is None else upload.unread.seconds(time.monotonic())
+        return (held.call.budget_us - DEADLINE_MARGIN_US) / 1e6 - unread_s
+
+    def _on_body_time_over(self, held: PendingRequest) -> None:
+        """End a request that may have lain unread for its client's whole time, unless it was read since."""
+        left_s, upload = self._body_time_left_s(held), held.call.upload
+        if left_s <= 0.0:
+            self._dispatch(self.balancer.on_deadline_moved, api.DeadlineMoved(held.id, self.now()), held)
+            self._expire_body(held)
+        elif upload is not None and upload.unread.paused:
+            self._set_timer(held, self._loop.time() + left_s, self._on_body_time_over)
+        else:
+            self._set_timer(held, held.latest_at, self._on_deadline_passed)
+
+    def _expire_body(self, held: PendingRequest) -> None:
+        """End the attempt that has not sent the whole body; its end decides the request's final answer."""
+        self._set_timer(held, self._loop.time() + ANSWER_GRACE_US / 1e6, self._on_deadline_passed)
+        if held.call.upload is not None:
+            held.call.upload.expire()
 
     def abandon(self, held: PendingRequest) -> None:
         """Drop a request whose client has disconnected."""
--- a/sorrelfront/decisions/balancer.py
+++ b/sorrelfront/decisions/balancer.py
@@ -428,6 +428,16 @@
             server.pending[key] = (now, self._expected_us(cost, cls))
         return []
 
+    def on_deadline_moved(self, event: api.DeadlineMoved, now: int) -> list[api.Action]:
+        """Note another deadline, and answer if it is over. An attempt in flight ends by its own limit."""
+        held = self.held.get(event.request_id)
+        if held is None:
+            return []
+        held.request = held.request._replace(deadline_us=event.deadline_us)
+        if held.in_flight or event.deadline_us > now:
+            return []
+        return self._final_answer(held, api.EndReason.DEADLINE)
+
     def on_stream_started(self, event: api.StreamStarted, now: int) -> list[api.Action]:
         """Do nothing: the client has its answer, and the end of the attempt is reported like any other."""
         return []
--- a/sorrelfront/decisions/interface.py
+++ b/sorrelfront/decisions/interface.py
@@ -167,6 +167,13 @@
     deadline_us: int  # clock time at which the client gives up this try, counted from its last byte
 
 
+class DeadlineMoved(NamedTuple):
+    """The client of a request gives up at another time than was said."""
+
+    request_id: int
+    deadline_us: int  # clock time at which the client gives up this try
+
+
 class AttemptEnded(NamedTuple):
     """An attempt ended, `elapsed_us` after it was sent."""
 
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -162,6 +162,10 @@
         """Accept a call; its answer follows in what is returned."""
         ...
 
+    def body_paused(self, held: PendingRequest) -> None:
+        """Report that the client of a streamed body is not read until there is room for more of it."""
+        ...
+
     def body_received(self, held: PendingRequest) -> None:
         """Report that the streamed body of the request is complete."""
         ...
@@ -906,31 +910,45 @@
             self._deadline = max(self._deadline, now + MAX_BODY_PAUSE_S)
 
     async def _wait_for_upload(self, incoming: _IncomingBody, upload: Upload) -> None:
-        """Wait until the server reads more of the body; the client's deadline is extended by that time."""
+        """Wait until the server reads more of the body.
+
+        The client may send for that much longer. But its time for the whole request runs: it may have sent
+        its last byte already.
+        """
+        if upload.has_room():
+            return
         began, until = time.monotonic(), self._deadline
         self._deadline = math.inf
+        upload.unread.pause(began, upload.received)
+        for pending in self._uploading():
+            self._agent.body_paused(pending)
         try:
             await upload.wait_for_room()
         finally:
-            waited = time.monotonic() - began
-            self._count_wait(
-                WaitReason.SERVER, waited, f"{upload.received} of {upload.length} bytes received"
-            )
+            now = time.monotonic()
+            upload.unread.resume(now)
+            waited = now - began
+            self._count_wait(WaitReason.SERVER, waited, f"{upload.received} of {upload.length} bytes")
             incoming.began += waited
             self._deadline = until + waited
 
+    def _uploading(self) -> list[PendingRequest]:
+        """Return the request whose body is being streamed, if it was accepted and has no answer yet."""
+        held = [pending.held for pending in self._pending if pending.held is not None]
+        return [one for one in held if one.call.upload is not None and one.call.upload is self._upload]
+
     def _finish_upload(self) -> None:
         """Mark a streamed body as complete; does nothing if the body was not streamed."""
-        upload, self._upload = self._upload, None
+        upload = self._upload
         if upload is None:
             return
         self._incoming = None
         self._listener.uploading.discard(self)
         self._partial = False
         upload.end()
-        for pending in self._pending:
-            if pending.held is not None and pending.held.call.upload is upload:
-                self._agent.body_received(pending.held)
+        for pending in self._uploading():
+            self._agent.body_received(pending)
+        self._upload = None
         self._deadline = time.monotonic() + IDLE_S
 
     def _take_complete(self, data: bytes) -> bool:
@@ -1071,13 +1089,14 @@
             call.client_gone = self.wire.hung_up
             if length != -1:
                 assert incoming is not None
-                call.upload = self._upload = Upload(call.payload.body, length)
+                call.upload = self._upload = Upload(call.payload.body, length, incoming.unread)
                 call.payload.body = incoming.data = bytearray()
                 self._incoming = incoming
                 self._partial = True  # until the rest has arrived
                 self._listener.uploading.add(self)
-            unread_s = 0.0 if incoming is None else incoming.unread.seconds(time.monotonic())
-            call.budget_us -= waited_us + int(unread_s * 1e6)
+            call.budget_us -= waited_us
+            if incoming is not None and call.upload is None:
+                call.budget_us -= int(incoming.unread.seconds(time.monotonic()) * 1e6)
             held = self._agent.submit(call)
             self._enqueue(_PendingAnswer(parser, held.answer, share, held, last))
         return self._upload
--- a/sorrelfront/messages.py
+++ b/sorrelfront/messages.py
@@ -12,6 +12,19 @@
 Address = tuple[str, int]
 
 
+class UnreadTime(Protocol):
+    """Upper bound on how long a complete request may have lain unread while its client was not read."""
+
+    @property
+    def paused(self) -> bool:
+        """Whether that time grows now."""
+        ...
+
+    def seconds(self, now: float) -> float:
+        """Return it in seconds; `now` is on the monotonic clock."""
+        ...
+
+
 class Upload(Protocol):
     """A request body that is streamed from the client to the server."""
 
@@ -24,9 +37,20 @@
     def completed_at(self) -> float | None:
         """Monotonic time in seconds at which the last byte arrived; None until then."""
 
+    @property
+    def unread(self) -> UnreadTime:
+        """How much of its client's time the complete request may have spent unread."""
+        ...
+
+    def expire(self) -> None:
+        """Let nothing more of the body be sent: the time of its client is over."""
+
     def begin(self) -> bool:
         """Start to read from the beginning. Returns False if the beginning is no longer available."""
 
+    def on_stop(self, callback: Callable[[], None]) -> None:
+        """Have the callback called once nothing more of the body may be sent."""
+
     async def read(self) -> bytes:
         """Return the next piece, empty at the end. Raises ConnectionError if the body is truncated."""
 
--- a/sorrelfront/sites/requests.py
+++ b/sorrelfront/sites/requests.py
@@ -496,6 +496,12 @@
         """Return False: callers of different sites may use the same request ids."""
         return False
 
+    def body_paused(self, held: PendingRequest) -> None:
+        """Tell the agent that the body of a request is not read for a while."""
+        inner = self._uploads.get(held.id)
+        if inner is not None:
+            self._agent.body_paused(inner)
+
     def body_received(self, held: PendingRequest) -> None:
         """Tell the agent that the body of a request has arrived completely."""
         inner = self._uploads.pop(held.id, None)
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -385,9 +385,10 @@
         headers += [item for item in payload.headers if item[0] != b"host"]
         upload = self._call.upload
         # The time left now. With the time left at the decision, the server would go on working for a client
-        # that has given up, for as long as the connect took. A streamed body does not count against the time.
+        # that has given up, for as long as the connect took. A streamed body counts against the time only
+        # where it may lie unread.
         left_us = max(0, int((self._deadline - time.monotonic()) * 1e6))
-        budget_us = left_us if upload is None else self._call.budget_us
+        budget_us = left_us if upload is None else max(0, int(self._upload_budget_s(upload) * 1e6))
         headers.append((b"X-Budget", b"%du" % budget_us))
         if upload is not None:
             if upload.length is None:
@@ -446,18 +447,25 @@
         wire.shutdown(socket.SHUT_RDWR)
         return False
 
-    def begin_last_byte(self) -> None:
+    def _upload_budget_s(self, upload: Upload) -> float:
+        """Return how much of its time the client of a streamed body has left, if it has sent everything."""
+        now = time.monotonic()
+        since_s = 0.0 if upload.completed_at is None else now - upload.completed_at
+        return self._call.budget_us / 1e6 - upload.unread.seconds(now) - since_s
+
+    def begin_last_byte(self, upload: Upload) -> bool:
         """Mark the request as sent and start its time limit; called before a streamed body's last byte.
 
         The time counts from when that byte arrived. If it counted from now, the agent would have to answer
-        before the attempt times out.
+        before the attempt times out. Returns False, with nothing changed, if no time is left.
         """
+        left_s = self._upload_budget_s(upload) - DEADLINE_MARGIN_US / 1e6
+        if left_s <= 0.0:
+            return False
         self.sent = True
-        upload = self._call.upload
-        if self.time_limit is not None and upload is not None and upload.completed_at is not None:
-            spent_s = time.monotonic() - upload.completed_at
-            left_s = (self._call.budget_us - DEADLINE_MARGIN_US) / 1e6 - spent_s
+        if self.time_limit is not None:
             self.time_limit.reschedule(asyncio.get_running_loop().time() + left_s)
+        return True
 
     def keep(self, wire: Wire) -> None:
         """Return the connection to the pool."""
@@ -668,6 +676,7 @@
     def __init__(self, exchange: _Exchange, wire: Wire, head: bytes, upload: Upload) -> None:
         self._exchange = exchange
         self._wire = wire
+        upload.on_stop(self._on_stop)
         self._task = asyncio.create_task(self._run(head, upload))
 
     async def _run(self, data: bytes, upload: Upload) -> None:
@@ -679,7 +688,8 @@
                 data += b"0\r\n\r\n"
             await self._wire.send(memoryview(data)[:-1], STREAM_IDLE_TIMEOUT_S)
             await asyncio.sleep(LAST_BYTE_DELAY_S)
-            self._exchange.begin_last_byte()
+            if not self._exchange.begin_last_byte(upload):
+                raise BodyAborted("the client's time is over")
             try:
                 await self._wire.send(data[-1:], STREAM_IDLE_TIMEOUT_S)
             except OSError:
@@ -690,6 +700,11 @@
             # The reader gets the end of the connection, after any answer before it.
             self._wire.shutdown(socket.SHUT_RDWR)
 
+    def _on_stop(self) -> None:
+        """End an attempt that has not sent its last byte, also while its server takes nothing."""
+        if not self._exchange.sent:
+            self._wire.shutdown(socket.SHUT_RDWR)
+
     def done(self) -> bool:
         """Return whether nothing is left to write, or writing has failed."""
         return self._task.done()
--- a/tests/decisions/test_arriving.py
+++ b/tests/decisions/test_arriving.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from sorrelfront.decisions.interface import BodyReceived, Outcome, Request, Send
+from sorrelfront.decisions.interface import (
+    BodyReceived,
+    DeadlineMoved,
+    EndReason,
+    Outcome,
+    Refuse,
+    Request,
+    Send,
+)
 from tests.helpers import SAFE, UNSAFE, balancer, ended, request, sends
 
 
@@ -60,3 +68,20 @@
     before = dict(lb.servers["b000"].pending)
     lb.on_body_received(BodyReceived(1, 99), 500)
     assert lb.servers["b000"].pending == before
+
+
+def test_a_deadline_moved_to_now_ends_it_with_its_attempt() -> None:
+    lb = balancer(3)
+    lb.on_request(arriving(1, "pay"), 0)
+    assert lb.on_deadline_moved(DeadlineMoved(1, 2_000_000), 2_000_000) == []
+    (refusal,) = ended(lb, 1, 0, Outcome.UNREACHABLE, 2_001_000, elapsed_us=0)
+    assert isinstance(refusal, Refuse) and refusal.reason is EndReason.DEADLINE
+
+
+def test_a_deadline_moved_to_now_is_answered_at_once_without_an_attempt() -> None:
+    lb = balancer(0)
+    lb.on_request(arriving(1, "pay"), 0)
+    assert lb.on_deadline_moved(DeadlineMoved(1, 20_000), 10_000) == []
+    (refusal,) = lb.on_deadline_moved(DeadlineMoved(1, 10_000), 10_000)
+    assert isinstance(refusal, Refuse) and refusal.reason is EndReason.DEADLINE
+    assert lb.on_deadline_moved(DeadlineMoved(1, 10_000), 10_000) == [] and not lb.held
--- a/tests/net/test_long_bodies.py
+++ b/tests/net/test_long_bodies.py
@@ -13,6 +13,7 @@
 
 from sorrelfront.fronts import http1 as front
 from sorrelfront.lab.http1 import member
+from sorrelfront.net import bodies
 from sorrelfront.net.budget import MAX_BUFFERED_BODY, MAX_STREAMED_BODY
 from sorrelfront.platform.config import parse
 from sorrelfront.upstreams import http1 as upstream
@@ -22,6 +23,7 @@
     Backend,
     Client,
     answer,
+    async_test,
     make_config,
     request,
     running_agent,
@@ -29,6 +31,9 @@
 )
 
 LONG = bytes(range(256)) * 8_192  # 2 MB, so that a shift or a gap shows
+# As on an Ethernet: with the 64 kB of the loopback interface the kernels buffer megabytes between sockets.
+SEGMENT_BYTES = 1_448
+SMALL_BUFFER_BYTES = 32_768
 
 
 class Server:
@@ -45,8 +50,14 @@
         self.go.set()
         self._writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self) -> Server:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, small_buffers: bool = False) -> Server:
+        """Listen; with small buffers, the kernels hold little of a body that is not read here."""
+        sock = socket.socket()
+        if small_buffers:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        sock.bind(("127.0.0.1", 0))
+        self.server = await asyncio.start_server(self._serve, sock=sock)
         self.address = "{}:{}".format(*self.server.sockets[0].getsockname())
         return self
 
@@ -446,6 +457,88 @@
     asyncio.run(scenario())
 
 
+@contextlib.asynccontextmanager
+async def stuck_upload(
+    body: bytes, budget: str, **changes: int
+) -> AsyncIterator[tuple[AgentHarness, Server, Client]]:
+    """A client has sent a long request of class "pay" whose server takes no bytes; the agent waits for it."""
+    server = Server()
+    server.go.clear()
+    await server.start(small_buffers=True)
+    async with world_of(server, **changes) as made:
+        client = await made.client()
+        client.send(request("r", "pay", body, budget))
+        await asyncio.wait_for(server.began.wait(), WAIT_TIMEOUT_S)
+        (one,) = made.listener._clients
+        before = -1
+        # Until nothing is received for a quarter of a second: the kernels' buffers are full then.
+        while one._upload is not None and before != one._upload.received:
+            before = one._upload.received
+            await asyncio.sleep(0.25)
+        assert one._upload is not None, "the kernels hold all of the body"
+        yield made, server, client
+
+
+@async_test
+async def test_a_long_request_whose_server_takes_no_bytes_is_refused_within_its_time(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a request that is complete, unread behind a hung server, and gets no answer in time."""
+    monkeypatch.setattr(upstream, "STREAM_IDLE_TIMEOUT_S", 3_600.0)
+    async with stuck_upload(LONG, "1000m") as (made, server, client):
+        status, head, _ = await client.answer()
+        assert status == 503 and b"retry-after" in head.lower()
+        assert "by its deadline" not in caplog.text  # the attempt ended and was counted, not the fallback
+        assert made.agent.balancer.servers["b0"].breaker.failures == 1
+        server.go.set()
+        client.send(request("next"))  # the connection stays in use behind what is left of the body
+        assert (await client.answer())[0] == 503  # the only server is left alone for a while
+        assert server.bodies == [] and made.upstream.requests_written == 0
+
+
+@async_test
+async def test_time_that_a_long_request_lies_unread_is_not_given_again() -> None:
+    """Guards against a server that pauses within a body, and then gets the client's whole time once more."""
+    async with stuck_upload(LONG, "4000m") as (made, server, _):
+        server.reply = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        (held,) = made.agent.balancer.held.values()
+        began = time.monotonic()
+        await asyncio.sleep(0.5)
+        paused_us = (time.monotonic() - began) * 1e6
+        server.go.set()
+        await until(lambda: not held.arriving)
+        assert held.request.deadline_us <= made.agent.now() + 4_000_000 - paused_us
+
+
+@async_test
+async def test_a_pause_of_a_server_does_not_end_a_body_that_its_client_still_sends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """More of the body is missing than the kernels hold, so its client's time has not begun."""
+    monkeypatch.setattr(bodies, "MAX_UNSEEN_BYTES", 1_000)
+    server = Server()
+    server.go.clear()
+    await server.start(small_buffers=True)
+    async with world_of(server) as made:
+        client = await made.client()
+        client.send(request("r", "pay", LONG, "300m"))
+        await asyncio.sleep(1.0)
+        server.go.set()
+        assert await body_of(client) == (200, b"served")
+        assert server.bodies == [LONG]
+
+
+@async_test
+async def test_a_long_request_given_up_on_frees_its_hung_server_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a descriptor that is held by a server that takes no bytes, for nobody."""
+    monkeypatch.setattr(upstream, "STREAM_IDLE_TIMEOUT_S", 3_600.0)
+    async with stuck_upload(LONG, "1000m", mayCancel=False) as (made, _, client):
+        assert (await client.answer())[0] == 503
+        await until(lambda: made.upstream.open_connections == 0 and made.agent.attempts == 0)
+
+
 def test_a_long_pause_in_a_long_answer_does_not_end_it(monkeypatch: pytest.MonkeyPatch) -> None:
     """A stalled short answer is retried elsewhere; of a long one the client already has a part."""
     monkeypatch.setattr(upstream, "STALL_S", 0.05)
