A long request whose client left while it lay unread sends no last byte

Cause: a client that is not read is not seen to close, for its close lies behind what it has sent. All other requests are checked for that before their last byte; for a streamed body the connection's end was left to cancel the attempt, which `mayCancel` may forbid.

Change: before the last byte of a streamed body the client's connection is looked at once more. By then everything before a close has been read, so that it shows.

Test: net/test_long_bodies.py: whose client left; failed before without cancelling (the body had run).

--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -457,10 +457,12 @@
         """Mark the request as sent and start its time limit; called before a streamed body's last byte.
 
         The time counts from when that byte arrived. If it counted from now, the agent would have to answer
-        before the attempt times out. Returns False, with nothing changed, if no time is left.
+        before the attempt times out. Returns False, with nothing changed, if no time is left or the client
+        has left: while it was not read, its close was hidden behind what it had sent.
         """
         left_s = self._upload_budget_s(upload) - DEADLINE_MARGIN_US / 1e6
-        if left_s <= 0.0:
+        client_gone = self._call.client_gone
+        if left_s <= 0.0 or (client_gone is not None and client_gone()):
             return False
         self.sent = True
         if self.time_limit is not None:
@@ -689,7 +691,7 @@
             await self._wire.send(memoryview(data)[:-1], STREAM_IDLE_TIMEOUT_S)
             await asyncio.sleep(LAST_BYTE_DELAY_S)
             if not self._exchange.begin_last_byte(upload):
-                raise BodyAborted("the client's time is over")
+                raise BodyAborted("the client's time is over, or it has left")
             try:
                 await self._wire.send(data[-1:], STREAM_IDLE_TIMEOUT_S)
             except OSError:
--- a/tests/net/test_long_bodies.py
+++ b/tests/net/test_long_bodies.py
@@ -539,6 +539,18 @@
         await until(lambda: made.upstream.open_connections == 0 and made.agent.attempts == 0)
 
 
+@pytest.mark.parametrize("may_cancel", [True, False])
+@async_test
+async def test_a_long_request_whose_client_left_while_it_lay_unread_does_not_run(may_cancel: bool) -> None:
+    """Guards against an attempt that begins for a client that closed behind what it had sent."""
+    async with stuck_upload(LONG, "4000m", mayCancel=may_cancel) as (made, server, client):
+        client.close()
+        await client.writer.wait_closed()
+        server.go.set()
+        await until(lambda: made.agent.attempts == 0 and made.upstream.open_connections == 0)
+        assert made.upstream.requests_written == 0 and server.bodies == []
+
+
 def test_a_long_pause_in_a_long_answer_does_not_end_it(monkeypatch: pytest.MonkeyPatch) -> None:
     """A stalled short answer is retried elsewhere; of a long one the client already has a part."""
     monkeypatch.setattr(upstream, "STALL_S", 0.05)
