A long answer that hangs is ended with its client's time, not after 10 s

Change: a pause may last until the client's time is over, and past that as long as in any answer that has begun (0.3 s, for a lost packet). What comes on is passed on as before.

Test: net/test_long_bodies.py: a long answer that hangs, with a length and chunked: no end within 30 s before, with the 10 s taken out.

--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -38,8 +38,8 @@
 log = logging.getLogger(__name__)
 
 # The longest pause in a streamed body, in either direction. It is long because only this request waits for
-# it, and what the server would still send is lost if the agent gives up. The drawback is that a server that
-# vanishes without closing holds its client for this long.
+# it, and what the server would still send is lost if the agent gives up. The client's time ends it sooner,
+# except while its request cannot be complete.
 STREAM_IDLE_TIMEOUT_S = 10.0
 STALL_S = 0.3  # longest pause in an answer that has begun; a lost packet costs 0.2 s
 MAX_INFORMATIONAL = 16  # 1xx responses before the final one; more count as a flood
@@ -447,6 +447,18 @@
         wire.shutdown(socket.SHUT_RDWR)
         return False
 
+    def pause_limit_s(self) -> float:
+        """Return how long a pause in a long answer may be now, in seconds.
+
+        The client waits for its rest until its time is over. Past that only pauses as in other answers are
+        waited for: what comes on is passed on, but an answer that hangs is ended.
+        """
+        upload = self._call.upload
+        left_s = self._deadline - time.monotonic()
+        if upload is not None:
+            left_s = self._upload_budget_s(upload) - DEADLINE_MARGIN_US / 1e6
+        return min(STREAM_IDLE_TIMEOUT_S, max(STALL_S, left_s))
+
     def _upload_budget_s(self, upload: Upload) -> float:
         """Return how much of its time the client of a streamed body has left, if it has sent everything."""
         now = time.monotonic()
@@ -779,7 +791,7 @@
         assert self._remaining is not None
         if self._remaining == 0:
             return self._finish(not self._excess)
-        data = await self._wire.receive(STREAM_IDLE_TIMEOUT_S)
+        data = await self._wire.receive(self._reader.pause_limit_s())
         if not data:
             raise BodyAborted("the answer is truncated")
         self._excess = len(data) > self._remaining
@@ -790,7 +802,7 @@
             try:
                 event = parser.next_event()
                 if event is h11.NEED_DATA:
-                    parser.receive_data(await self._wire.receive(STREAM_IDLE_TIMEOUT_S))
+                    parser.receive_data(await self._wire.receive(self._reader.pause_limit_s()))
                     continue
             except h11.RemoteProtocolError as fault:
                 raise BodyAborted(str(fault)) from None
@@ -955,6 +967,10 @@
         download = _Download(self, self.wire, head.length, None, body)
         return AttemptResult(Outcome.OK, Answer(200, end_to_end(head.headers), b"", download))
 
+    def pause_limit_s(self) -> float:
+        """Return how long a pause in a long answer may be now, in seconds."""
+        return self._exchange.pause_limit_s()
+
     def finish_stream(self, complete: bool) -> None:
         """Finish a long answer; the connection is kept if `complete` and neither side closes it."""
         self._finish(complete and not self._close_after)
--- a/tests/net/test_long_bodies.py
+++ b/tests/net/test_long_bodies.py
@@ -578,6 +578,26 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@async_test
+async def test_a_long_answer_that_hangs_is_ended_with_its_clients_time(
+    framing: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a client that learns long after its time that the rest of its answer does not come."""
+    monkeypatch.setattr(upstream, "STREAM_IDLE_TIMEOUT_S", 3_600.0)
+    reply = answer(LONG)[:300_000]
+    if framing == "chunked":
+        reply = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(LONG, 9_000)[:300_000]
+    server = await Server(reply=reply).start()
+    async with world_of(server) as made:
+        client = await made.client()
+        client.send(request("r", budget="600m"))
+        await client.head()
+        with pytest.raises(ConnectionResetError):
+            await asyncio.wait_for(client.reader.readexactly(len(LONG)), WAIT_TIMEOUT_S)
+        assert made.upstream.open_connections == 0
+
+
 def test_a_stream_whose_writer_never_started_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     """The client disconnects in the event loop step in which its answer arrives."""
     flush = front._Client._flush
