One timer looks for stalled bodies, in place of one for each waiting body

Each wake-up of each waiting body created a time limit of its own; bodies are freed up to hundreds of times a second where clients come again as soon as they are rejected, and each wakes all that wait. No change of behaviour but that a body which has been stalled for 0.25 s may be ended up to 0.25 s later.

--- a/sorrelfront/net/budget.py
+++ b/sorrelfront/net/budget.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
 from collections.abc import Callable
 
@@ -55,6 +54,7 @@
         self._growing: dict[BodyShare, None] = {}
         self._stalled: dict[BodyShare, float] = {}  # whose clients have sent nothing more, and since when
         self._freed = asyncio.Event()
+        self._stall_check: asyncio.TimerHandle | None = None  # while bodies wait for room
         self.resize(memory_bytes)
 
     def resize(self, memory_bytes: int) -> None:
@@ -81,10 +81,16 @@
         while share in self._growing and not self.fits(share):
             if self._end_stalled():
                 continue
+            if self._stall_check is None:
+                loop = asyncio.get_running_loop()
+                self._stall_check = loop.call_later(MIN_STALL_S, self._check_stalled)
             self._freed.clear()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(MIN_STALL_S):  # then another one may have stalled for long enough
-                    await self._freed.wait()
+            await self._freed.wait()
+
+    def _check_stalled(self) -> None:
+        """Wake the waiting bodies: another one may have been stalled for long enough."""
+        self._stall_check = None
+        self._freed.set()
 
     def _end_stalled(self) -> bool:
         """End the body that has been stalled for the longest time. Returns whether there was one to end."""
