A long request given up on ends its attempt while it connects, too

An attempt was ended through its connection, which it has not got while it connects: a long request whose time was over then failed with a 500 through the agent's fallback, 10 ms late, and without cancelling the attempt kept its descriptor until the connect's own end. Now it is ended through its time limit, wherever it waits, and counts as not sent, so that the request is refused.

Of a client's pauses in sending those count that begin with nothing unread: without the look before it, a wait of this process's own could take back time that counts.

--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -872,12 +872,14 @@
     async def _wait_for_client(self, incoming: _IncomingBody, arrival: Coroutine[Any, Any, T]) -> T:
         """Wait for more of a body to arrive; the body counts as stalled meanwhile."""
         began = time.monotonic()
+        dry = incoming.unread.seconds(began) > 0.0 and self.wire.nothing_unread()
         incoming.share.stall(self._end_stalled)
         try:
             arrived = await arrival
         finally:
             incoming.share.resume()
-        if time.monotonic() - began >= CLIENT_IDLE_S:
+        # Shorter waits may be those of the kernels; longer ones may be this process's, hence the look before.
+        if dry and time.monotonic() - began >= CLIENT_IDLE_S:
             incoming.unread.client_was_read_dry()
         return arrived
 
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -112,6 +112,8 @@
         exchange = _Exchange(self, call, address, timeout_us, may_send)
         # The timeout of a request with a streamed body starts at the body's last byte.
         limit_s = max(0, timeout_us) / 1e6 if call.upload is None else None
+        if call.upload is not None:
+            call.upload.on_stop(exchange.stop)
         return await self.run_with_timeout(limit_s, exchange, exchange.run)
 
     def begin(
@@ -291,6 +293,7 @@
         self._deadline = time.monotonic() + timeout_us / 1e6
         self._may_send = may_send
         self.sent = False  # the last byte may have left, so the request may run
+        self._stopped = False  # the last byte may not be sent any more
         # The answer, if it was received but not read at the timeout
         self.unread_result: AttemptResult | None = None
         self.time_limit: asyncio.Timeout | None = None  # of the whole attempt
@@ -474,13 +477,21 @@
         """
         left_s = self._upload_budget_s(upload) - DEADLINE_MARGIN_US / 1e6
         client_gone = self._call.client_gone
-        if left_s <= 0.0 or (client_gone is not None and client_gone()):
+        if self._stopped or left_s <= 0.0 or (client_gone is not None and client_gone()):
             return False
         self.sent = True
         if self.time_limit is not None:
             self.time_limit.reschedule(asyncio.get_running_loop().time() + left_s)
         return True
 
+    def stop(self) -> None:
+        """End the attempt as one that was not sent, whatever it waits for, unless its last byte is sent."""
+        if self.sent or self._stopped:
+            return
+        self._stopped = True
+        if self.time_limit is not None:
+            self.time_limit.reschedule(asyncio.get_running_loop().time())
+
     def keep(self, wire: Wire) -> None:
         """Return the connection to the pool."""
         self._upstream.release(self._address, wire)
@@ -690,7 +701,6 @@
     def __init__(self, exchange: _Exchange, wire: Wire, head: bytes, upload: Upload) -> None:
         self._exchange = exchange
         self._wire = wire
-        upload.on_stop(self._on_stop)
         self._task = asyncio.create_task(self._run(head, upload))
 
     async def _run(self, data: bytes, upload: Upload) -> None:
@@ -714,11 +724,6 @@
             # The reader gets the end of the connection, after any answer before it.
             self._wire.shutdown(socket.SHUT_RDWR)
 
-    def _on_stop(self) -> None:
-        """End an attempt that has not sent its last byte, also while its server takes nothing."""
-        if not self._exchange.sent:
-            self._wire.shutdown(socket.SHUT_RDWR)
-
     def done(self) -> bool:
         """Return whether nothing is left to write, or writing has failed."""
         return self._task.done()
--- a/tests/net/test_connecting.py
+++ b/tests/net/test_connecting.py
@@ -168,3 +168,19 @@
             int(line[10:-1]) for line in backend.received[0].split(b"\r\n") if line[:10] == b"X-Budget: "
         )
         assert 0 < left <= 4_500_000 - elapsed_us  # the client's own budget is the upper bound
+
+
+@async_test
+async def test_a_long_request_given_up_on_within_a_connect_is_refused(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a request that fails, and a descriptor that is held, because a connect is late."""
+    backend = await Backend(OK).start()
+    async with running_agent(backend, connectTimeoutUs=0, mayCancel=False) as made:
+        delayed = DelayedConnects(made)
+        client = await made.client()
+        client.send(request("a", "pay", bytes(500_000), budget="300m"))
+        status, head, _ = await client.answer()
+        assert status == 503 and b"retry-after" in head.lower()
+        assert "by its deadline" not in caplog.text
+        assert delayed.waiting == 1 and made.agent.attempts == 0 and made.upstream.open_connections == 0
