A connection that came up while the process paused is used, not timed out

What callers see: after a pause of the agent that is longer than the connect time-out, requests whose connections had come up meanwhile are refused, and their server is avoided as unreachable.

Cause: where the connection and the end of its time are noticed in one turn of the event loop, the time limit cancels the task that has not yet been woken with the connection.

Change: when the time is over, the socket says whether it is connected.

Test: net/test_connecting.py: came up while this process paused: 503 in place of 200 before.

--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -211,14 +211,28 @@
         wire = Wire(sock)
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
-            async with asyncio.timeout(self._connect_timeout_s):
-                await asyncio.get_running_loop().sock_connect(sock, address)
+            await self._connect(sock, address)
         except BaseException:
             self.drop(wire, ServerCloseReason.CONNECT_FAILED)
             raise
         self.connections_opened += 1
         return wire
 
+    async def _connect(self, sock: socket.socket, address: Address) -> None:
+        """Connect a socket. Raises OSError, TimeoutError if it takes longer than the connect time-out.
+
+        After a pause of this process the time may be over although the connection has come up meanwhile. It
+        is used then: as a time-out, the pause would count as a failure of the server, or of all of them.
+        """
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                await asyncio.get_running_loop().sock_connect(sock, address)
+        except TimeoutError:
+            try:
+                sock.getpeername()
+            except OSError:
+                raise TimeoutError from None
+
     def release(self, address: Address, wire: Wire) -> None:
         """Keep a connection for the next request; close it if the backend sends or closes in between."""
         self._close_expired()
--- a/tests/net/test_connecting.py
+++ b/tests/net/test_connecting.py
@@ -6,6 +6,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -184,3 +186,30 @@
         assert status == 503 and b"retry-after" in head.lower()
         assert "by its deadline" not in caplog.text
         assert delayed.waiting == 1 and made.agent.attempts == 0 and made.upstream.open_connections == 0
+
+
+@async_test
+async def test_a_connection_that_came_up_while_this_process_paused_is_used(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request refused, and a server avoided, since the connect's time passed in a pause."""
+    backend = await Backend(OK).start()
+    async with running_agent(backend, connectTimeoutUs=50_000) as made:
+        loop = asyncio.get_running_loop()
+        sock_connect = loop.sock_connect
+
+        async def connect_and_pause(sock: socket.socket, address: Address) -> None:
+            await sock_connect(sock, address)
+            time.sleep(0.2)  # the injected fault: the event loop is blocked
+            for _ in range(
+                2
+            ):  # so that the time limit is noticed before the connection, as by a busy event loop
+                await asyncio.sleep(0)
+
+        client = await made.client()
+        monkeypatch.setattr(loop, "sock_connect", connect_and_pause)
+        client.send(request("a"))
+        assert (await client.answer())[0] == 200
+        assert (
+            made.upstream.connections_opened == 1 and not made.agent.balancer.servers["b0"].breaker.failures
+        )
