Heads of requests get a module of their own

Reading and checking a request's head (method, class, time, key, framing) moves to fronts/request_head.py as it was, with the reasons for which a request is rejected; it declares what it needs of the agent, its classes, itself. No change of behaviour.

--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -6,24 +6,23 @@
 import contextlib
 import logging
 import math
-import re
 import socket
 import struct
 import time
 from collections import OrderedDict
-from collections.abc import Coroutine, Iterable, Mapping
+from collections.abc import Coroutine
 from dataclasses import dataclass
 from enum import StrEnum
 from functools import partial
 from itertools import chain, islice
 from typing import Any, Protocol, TypeVar
-from urllib.parse import parse_qs, unquote
 
 import h11
 
 from sorrelfront.agent import DEADLINE_MARGIN_US, MIN_UPLOAD_RATE, PendingRequest, discard_answer
-from sorrelfront.decisions.interface import Effect, RequestClass
+from sorrelfront.decisions.interface import RequestClass
 from sorrelfront.events import Event, EventCounter
+from sorrelfront.fronts.request_head import BadRequest, RejectReason, check_framing, parse_call, path_of
 from sorrelfront.messages import Address, Answer, Call, FinalAnswer, Headers, Refused, Stream
 from sorrelfront.net.bodies import CLIENT_IDLE_S, UnreadTime, Upload
 from sorrelfront.net.budget import MAX_BUFFERED_BODY, MAX_STREAMED_BODY, BodyBudget, BodyShare, Descriptors
@@ -31,9 +30,7 @@
 from sorrelfront.net.http import (
     MAX_CHUNKS_PER_TURN,
     SOCKET_BUFFER_BYTES,
-    Payload,
     Wire,
-    end_to_end,
     frame_events,
 )
 
@@ -75,29 +72,6 @@
 
 T = TypeVar("T")
 
-TOKEN = re.compile(rb"[!-~]{1,128}")
-BUDGET = re.compile(rb"(\d{1,12}(?:\.\d{1,6})?)([mu])")
-BUDGET_UNITS_US = {b"m": 1000.0, b"u": 1.0}
-
-
-class Head(Protocol):
-    """What this module reads of the head of a request, whichever parser made it."""
-
-    @property
-    def method(self) -> bytes:
-        """The request method."""
-        ...
-
-    @property
-    def target(self) -> bytes:
-        """The request target, undecoded."""
-        ...
-
-    @property
-    def headers(self) -> Iterable[tuple[bytes, bytes]]:
-        """The headers in order of arrival, names in lower case."""
-        ...
-
 
 class CloseReason(StrEnum):
     """Why a client connection was closed."""
@@ -112,25 +86,6 @@
     ANSWERED_LAST = "answered-last"
 
 
-class RejectReason(StrEnum):
-    """Why a request was answered before it was accepted."""
-
-    INCOMPLETE = "incomplete"  # it did not arrive in time
-    NO_ROOM = "no-room"
-    STALLED = "stalled"  # it stopped in the middle of its body while others needed the memory
-    GOING_AWAY = "going-away"
-    BAD_REQUEST = "bad-request"  # it cannot be parsed, is not allowed, or is too long
-
-
-class BadRequest(Exception):
-    """A request that is rejected before it reaches the module, with the status and the reason."""
-
-    def __init__(self, status: int, text: str, reason: RejectReason = RejectReason.BAD_REQUEST) -> None:
-        super().__init__(text)
-        self.status = status
-        self.reason = reason
-
-
 class WaitReason(StrEnum):
     """What a client was not read for, in the middle of its body."""
 
@@ -798,7 +753,7 @@
         """
         if len(self._pending) >= MAX_PIPELINED:
             raise BadRequest(429, "too many requests at once on one connection")
-        call = None if _path(head) == READY_PATH else parse_call(head, self._agent)
+        call = None if path_of(head) == READY_PATH else parse_call(head, self._agent)
         if head.length > MAX_STREAMED_BODY or (call is None and head.length > MAX_BUFFERED_BODY):
             raise BadRequest(413, "the body is too long")
         incoming = self._begin_body(call, head.length)
@@ -965,7 +920,7 @@
         head = request_head(data[: found.end()]) if found is not None else None
         if found is None or head is None or head.last or found.end() + head.length != len(data):
             return False
-        if head.length > MAX_BUFFERED_BODY or _path(head) == READY_PATH:
+        if head.length > MAX_BUFFERED_BODY or path_of(head) == READY_PATH:
             return False
         try:
             call = parse_call(head, self._agent)
@@ -994,7 +949,7 @@
             check_framing(head)
             if len(self._pending) >= MAX_PIPELINED:
                 raise BadRequest(429, "too many requests at once on one connection")
-            call = None if _path(head) == READY_PATH else parse_call(head, self._agent)
+            call = None if path_of(head) == READY_PATH else parse_call(head, self._agent)
             lengths = [int(value) for name, value in head.headers if name == b"content-length"]
             if any(length > (MAX_STREAMED_BODY if call else MAX_BUFFERED_BODY) for length in lengths):
                 raise BadRequest(413, "the body is too long")
@@ -1360,102 +1315,3 @@
     if close:
         headers.append((b"Connection", b"close"))
     return headers
-
-
-def _path(head: Head) -> bytes:
-    return head.target.partition(b"?")[0]
-
-
-def check_framing(head: h11.Request) -> None:
-    """Reject a head whose body another parser could end elsewhere. Raises BadRequest.
-
-    What this parser takes for a body, another could take for the next request: request smuggling (RFC 9112,
-    6.1 and 11.2). h11 accepts both of these forms.
-    """
-    items = list(head.headers)
-    chunked = any(name == b"transfer-encoding" for name, _ in items)
-    lengths = [int(value) for name, value in items if name == b"content-length"]
-    if chunked and (lengths or head.http_version != b"1.1"):
-        raise BadRequest(400, "the length of the body is ambiguous")
-    if head.method == b"GET" and (chunked or any(lengths)):
-        raise BadRequest(400, "a GET here has no body")
-
-
-def parse_call(head: Head, agent: RequestHandler) -> Call:
-    """Build the call that the module decides on and that is forwarded to a backend.
-
-    Raises BadRequest if the request does not fit its class or lacks a required header.
-    """
-    if head.method not in (b"GET", b"POST"):
-        raise BadRequest(405, "the method is neither GET nor POST")
-    values = _header_values(head)
-    path, _, query = head.target.partition(b"?")
-    whole_path = path.decode("ascii")
-    if "%" in whole_path:
-        whole_path = unquote(whole_path)
-    class_name = whole_path.removeprefix("/").partition("/")[0]
-    cls = agent.request_class(class_name)
-    if not path.startswith(b"/") or cls is None:
-        raise BadRequest(404, "the path names no class of request")
-    if values.get(b"host") is None:
-        raise BadRequest(400, "Host is missing")  # optional in HTTP/1.0; the forwarded request is HTTP/1.1
-    client_id = values.get(b"x-call-id") or b""
-    if not TOKEN.fullmatch(client_id):
-        raise BadRequest(400, "X-Call-Id is missing or unreadable")
-    budget = BUDGET.fullmatch(values.get(b"x-budget") or b"")
-    if budget is None:
-        raise BadRequest(400, "X-Budget is missing or unreadable")
-    _check_effect(head.method, values, cls)
-    cost = values.get(b"x-call-cost") or b""
-    return Call(
-        client_id=client_id,
-        class_name=class_name,
-        # An unbounded budget would keep the request, its body and its attempts for as long.
-        budget_us=min(int(float(budget[1]) * BUDGET_UNITS_US[budget[2]]), cls.deadline_us),
-        payload=Payload(
-            head.method,
-            head.target,
-            [(name, value) for name, value in end_to_end(head.headers) if name != b"x-budget"],
-        ),
-        key=_first_key(query),
-        tenant=(values.get(b"x-caller") or b"").decode("latin-1"),
-        cost_hint_us=int(cost) if cost.isdigit() and len(cost) <= 12 else 0,
-        is_retry=values.get(b"x-again") == b"1",
-        repeatable=cls.effect is not Effect.UNSAFE,
-    )
-
-
-def _first_key(query: bytes) -> str:
-    """Return the first value of `k` that is not empty."""
-    if not query:
-        return ""
-    if b"%" in query or b"+" in query:
-        return parse_qs(query.decode("ascii")).get("k", [""])[0]
-    for pair in query.split(b"&"):
-        if pair[:2] == b"k=" and len(pair) > 2:
-            return pair[2:].decode("ascii")
-    return ""
-
-
-def _check_effect(method: bytes, values: Mapping[bytes, bytes | None], cls: RequestClass) -> None:
-    """Check that method and idempotency key fit the class. Raises BadRequest.
-
-    A keyed request without its key would be repeated like one whose repeats are deduplicated, and would run
-    twice.
-    """
-    if (method == b"GET") != (cls.effect is Effect.SAFE):
-        raise BadRequest(405, "the method is not that of the class")
-    keyed = TOKEN.fullmatch(values.get(b"idempotency-key") or b"") is not None
-    if keyed != (cls.effect is Effect.KEYED):
-        raise BadRequest(400, "Idempotency-Key is missing, unreadable or out of place")
-
-
-def _header_values(head: Head) -> dict[bytes, bytes | None]:
-    """Return the value of each header, None for one that occurs more than once.
-
-    Built once, because iterating over the header list of h11 is slow.
-    """
-    values: dict[bytes, bytes | None] = {}
-    for name, value in head.headers:
-        values[name] = None if name in values else value
-    return values
--- a/tests/net/test_body_room.py
+++ b/tests/net/test_body_room.py
@@ -10,7 +10,7 @@
 
 from sorrelfront.events import Event
 from sorrelfront.fronts import http1 as front
-from sorrelfront.fronts.http1 import RejectReason
+from sorrelfront.fronts.request_head import RejectReason
 from sorrelfront.net import budget
 from sorrelfront.net.bodies import MAX_UNSEEN_BYTES, UnreadTime
 from sorrelfront.net.budget import MAX_BUFFERED_BODY, BodyShare
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -8,7 +8,7 @@
 
 from sorrelfront.decisions.interface import EndReason, Outcome
 from sorrelfront.events import REPORT_INTERVAL_S, Event, EventCounter
-from sorrelfront.fronts.http1 import RejectReason
+from sorrelfront.fronts.request_head import RejectReason
 from sorrelfront.upstreams.http1 import ServerCloseReason
 from tests.loopback import Backend, answer, async_test, request, running_agent
 
