--- a/tests/net/test_body_room.py
+++ b/tests/net/test_body_room.py
@@ -68,6 +68,7 @@
     async with running_agent(backend) as made:
         client = await made.client()
         share = await send_in_two(made, client, request("r", "book", BODY, "4000m"))
+        await until(lambda: len(made.listener.bodies._growing) == 1)
         began = time.monotonic()
         await asyncio.sleep(0.5)
         waited_us = (time.monotonic() - began) * 1e6
