Show that a keyed request that a site passes on is repeated at another site

The deduplication group that a site chooses for a key is not carried with the request, so a site that passes it on sends a repeat to any of its best routes, also to another owner. Nothing is fixed.

--- a/review/common2.py
+++ b/review/common2.py
@@ -243,7 +243,9 @@
         """Connect. Raises OSError."""
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
 
-    async def send(self, method: str, path: str, call_id: str, budget_ms: int, key: str = "") -> None:
+    async def send(
+        self, method: str, path: str, call_id: str, budget_ms: int, key: str = "", again: bool = False
+    ) -> None:
         """Write one request."""
         if self.writer is None:
             await self.open()
@@ -252,6 +254,8 @@
                  f"X-Budget: {budget_ms}m"]  # fmt: skip
         if key:
             lines.append(f"Idempotency-Key: {key}")
+        if again:
+            lines.append("X-Again: 1")
         if method == "POST":
             lines.append("Content-Length: 0")
         self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
