--- a/review/common2.py
+++ b/review/common2.py
@@ -9,16 +9,20 @@
 import shutil
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from types import TracebackType
 
 ROOT = Path(__file__).resolve().parent.parent
 PYTHON = str(ROOT / ".venv" / "bin" / "python")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BEGAN = time.monotonic()
+LIMIT_S = 100.0  # for a case to be played; its end takes END_S more at most
 
 
 class CannotRun(Exception):
@@ -292,6 +296,26 @@
             self.writer.close()
 
 
+# Kills the process groups that it was told of, and removes the temporary folder, if the script ends without
+# saying that it has done so itself, as after SIGKILL.
+REAPER = """
+import os, shutil, signal, sys
+groups = set()
+for line in sys.stdin:
+    if line.strip() == "done":
+        sys.exit()
+    number = int(line)
+    groups.add(number) if number > 0 else groups.discard(-number)
+for group in groups:
+    try:
+        os.killpg(group, signal.SIGKILL)
+    except (ProcessLookupError, PermissionError):
+        pass
+shutil.rmtree(sys.argv[1], ignore_errors=True)
+"""
+END_S = 5.0  # for killed processes to be gone
+
+
 class Case:
     """A running case: its record, its temporary folder and the processes that it started."""
 
@@ -299,7 +323,21 @@
         self.folder = folder
         self.record = Record(folder)
         self.temporary = Path(tempfile.mkdtemp(prefix="case-", dir="/tmp"))
-        self.processes: list[asyncio.subprocess.Process] = []
+        self.groups: dict[int, asyncio.subprocess.Process] = {}
+        self._reaper = subprocess.Popen(
+            [sys.executable, "-c", REAPER, str(self.temporary)], stdin=subprocess.PIPE, text=True,
+            start_new_session=True,
+        )  # fmt: skip
+
+    def _tell_reaper(self, text: str) -> None:
+        assert self._reaper.stdin is not None
+        with contextlib.suppress(OSError):
+            self._reaper.stdin.write(f"{text}\n")
+            self._reaper.stdin.flush()
+
+    def _add(self, process: asyncio.subprocess.Process) -> None:
+        self.groups[process.pid] = process
+        self._tell_reaper(str(process.pid))
 
     async def start(
         self, arguments: list[str], log: str, environment: dict[str, str] | None = None
@@ -310,7 +348,7 @@
                 *arguments, cwd=ROOT, env={**os.environ, **(environment or {})},
                 stdin=asyncio.subprocess.DEVNULL, stdout=output, stderr=output, start_new_session=True,
             )  # fmt: skip
-        self.processes.append(process)
+        self._add(process)
         self.record(f"started process {process.pid}: {' '.join(arguments[-4:])}")
         return process
 
@@ -318,28 +356,42 @@
         """Run a command and return its exit code and output."""
         process = await asyncio.create_subprocess_exec(
             *arguments, cwd=ROOT, stdin=asyncio.subprocess.DEVNULL,
-            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT,
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT, start_new_session=True,
         )  # fmt: skip
+        self._add(process)
         try:
             text, _ = await asyncio.wait_for(process.communicate(), within_s)
         except TimeoutError:
-            process.kill()
             return -1, "no end in time"
+        del self.groups[process.pid]  # it has ended, and its number may be another's soon
+        self._tell_reaper(str(-process.pid))
         return process.returncode or 0, text.decode(errors="replace").strip()
 
     async def finish(self) -> None:
         """Kill all processes that were started, and theirs: each has a group. Remove the temporary folder."""
-        for process in self.processes:
+        for group in self.groups:
             with contextlib.suppress(ProcessLookupError, PermissionError):
-                os.killpg(process.pid, signal.SIGKILL)
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
+                os.killpg(group, signal.SIGKILL)
+        for process in self.groups.values():
             await process.wait()
+        until = time.monotonic() + END_S
+        while time.monotonic() < until and any(_is_alive(group) for group in self.groups):
+            await asyncio.sleep(0.02)
         logs = self.folder / "logs"
         if os.environ.get("KEEP_LOGS"):
             shutil.copytree(self.temporary, logs, dirs_exist_ok=True,
                             ignore=shutil.ignore_patterns("*.sock", "next-version*"))  # fmt: skip
         shutil.rmtree(self.temporary, ignore_errors=True)
+        self._tell_reaper("done")
+        self._reaper.wait()
+
+
+def _is_alive(group: int) -> bool:
+    try:
+        os.killpg(group, 0)
+    except (ProcessLookupError, PermissionError):
+        return False
+    return True
 
 
 async def wait_ready(port: int, within_s: float = 15.0) -> None:
@@ -360,22 +412,36 @@
     raise CannotRun(f"port {port} did not become ready")
 
 
+def _cannot_run(kind: type[BaseException], fault: BaseException, trace: TracebackType | None) -> None:
+    """End with 2 after an exception that nothing has handled; the interpreter's own code, 1, means broken."""
+    traceback.print_exception(kind, fault, trace)
+    sys.stderr.flush()
+    os._exit(2)
+
+
+sys.excepthook = _cannot_run
+
+
 def run_case(folder: Path, play: Callable[[Case], Awaitable[list[str]]]) -> None:
     """Play a case, print its verdict and exit with 0 (held), 1 (broken) or 2 (could not run)."""
 
     async def whole() -> list[str]:
         case = Case(folder)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         # What stand-ins leave open at the end is no part of the verdict.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        loop.set_exception_handler(lambda *_: None)
         try:
-            async with asyncio.timeout(115):
+            async with asyncio.timeout(LIMIT_S):
                 breaches = await play(case)
             for breach in breaches:
                 case.record(f"BROKEN {breach}")
             if not breaches:
                 case.record("the rule held")
             return breaches
-        except (CannotRun, TimeoutError, OSError) as fault:
+        except (Exception, asyncio.CancelledError) as fault:
             case.record(f"could not run: {type(fault).__name__}: {fault}")
             raise CannotRun(f"{type(fault).__name__}: {fault}") from None
         finally:
