--- a/review/common2.py
+++ b/review/common2.py
@@ -299,7 +299,7 @@
 # Kills the process groups that it was told of, and removes the temporary folder, if the script ends without
 # saying that it has done so itself, as after SIGKILL.
 REAPER = """
-import os, shutil, signal, sys
+import os, shutil, signal, sys, time
 groups = set()
 for line in sys.stdin:
     if line.strip() == "done":
@@ -311,6 +311,7 @@
         os.killpg(group, signal.SIGKILL)
     except (ProcessLookupError, PermissionError):
         pass
+time.sleep(0.5)
 shutil.rmtree(sys.argv[1], ignore_errors=True)
 """
 END_S = 5.0  # for killed processes to be gone
