--- a/review/common2.py
+++ b/review/common2.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -38,15 +39,15 @@
 
 
 def free_port(count: int = 1) -> int:
-    """Return the first of `count` free ports in a row on the loopback address."""
+    """Return the first of `count` free ports in a row on the loopback address.
+
+    They lie below those that the kernel gives to outgoing connections, which could take them meanwhile,
+    and are drawn at random, so that scripts that run side by side do not choose the same.
+    """
     while True:
-        with socket.socket() as first:
-            first.bind(("127.0.0.1", 0))
-            port = int(first.getsockname()[1])
+        port = random.randrange(20_000, 30_000)
         ports = range(port, port + count)
-        if port + count > 65_000 or _taken.intersection(ports):
-            continue
-        if all(_is_free(item) for item in ports):
+        if not _taken.intersection(ports) and all(_is_free(item) for item in ports):
             _taken.update(ports)
             return port
 
--- a/review/platform2.py
+++ b/review/platform2.py
@@ -58,11 +58,13 @@
         self.case, self.config, self.listen, self.folder = case, config, listen, folder
         self.control = free_port()
         self.process: asyncio.subprocess.Process | None = None
+        self._log = ""
 
     async def start(self, log: str) -> None:
         """Start the process."""
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         self.folder.mkdir(exist_ok=True)
+        self._log = log
         self.process = await self.case.start(
             ["/bin/sh", "-c", run], log,
             {"BALANCER_CONFIG": str(self.config), "BALANCER_LISTEN": f"127.0.0.1:{self.listen}",
@@ -88,7 +90,12 @@
         """Wait until /ready succeeds. Raises CannotRun."""
         until = time.monotonic() + within_s
         while time.monotonic() < until:
-            if (await self.call("GET", "/ready"))[0] == 200:
+            answered = (await self.call("GET", "/ready"))[0] == 200
+            if self.process is not None and self.process.returncode is not None:
+                # Whoever answers at its address is another program.
+                end = (self.case.temporary / self._log).read_text()[-300:]
+                raise CannotRun(f"the agent ended with {self.process.returncode}: {end}")
+            if answered:
                 return
             await asyncio.sleep(0.05)
         raise CannotRun("the agent did not become ready")
