--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -43,6 +43,7 @@
 from sorrelfront.fronts.http1 import Listener
 from sorrelfront.messages import Address, Update
 from sorrelfront.net.budget import BodyBudget, Descriptors
+from sorrelfront.net.process_memory import anonymous_bytes
 from sorrelfront.platform.config import BadConfig, parse
 from sorrelfront.signals import ignore_until_exit, on_signal
 from sorrelfront.sources import registry
@@ -505,6 +506,12 @@
             "connections": sum(listener.connections for listener in self._listeners.values()),
             "servers": len(agent.balancer.servers), "ready_servers": len(agent.balancer.ready),
         }  # fmt: skip
+        if self._body_budget is not None:
+            figures["memory"] = {
+                "held": self._body_budget.held,
+                "budget": self._body_budget.max_bytes,
+                "anonymous": anonymous_bytes(),
+            }
         if self._zookeeper_source is not None:
             figures |= self._zookeeper_source.status()
         if self._fleet_member is not None:
--- a/sorrelfront/platform/service.py
+++ b/sorrelfront/platform/service.py
@@ -11,6 +11,7 @@
 from sorrelfront.agent_config import Config
 from sorrelfront.fronts.http1 import Listener
 from sorrelfront.net.budget import RESERVED_DESCRIPTORS, BodyBudget, Descriptors
+from sorrelfront.net.process_memory import anonymous_bytes
 from sorrelfront.net.transient import retry_transient
 from sorrelfront.platform.overrides_file import POLL_INTERVAL_S, OverridesFile
 from sorrelfront.platform.upgrade import Predecessor, Successor
@@ -121,6 +122,12 @@
         values["concurrent"] = 0 if self.listener is None else self.listener.in_flight
         values["targets"] = agent.targets
         values["targets_disabled"] = agent.targets_excluded
+        if self.listener is not None:
+            values["memory_held"] = self.listener.bodies.held
+            values["memory_budget"] = self.listener.bodies.max_bytes
+        anonymous = anonymous_bytes()
+        if anonymous is not None:
+            values["memory_anonymous"] = anonymous
         values["reload_success"] = self.reloads
         values["reload_failure"] = self.reload_failures
         return values
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -218,6 +218,7 @@
             await until(lambda: sum(len(backend.received) for backend in backends) == 6)
             values = await metrics(calls)
             assert values["concurrent"] == 1
+            assert 1 <= values["memory_held"] < values["memory_budget"] < values["memory_anonymous"]
             go.set()
             assert (await other.answer())[0] == 500
             values = await metrics(calls)
