Free a request with a long answer when it is answered, not at the next collection

Cause: a streamed answer led back to its request: request -> answer -> _Download -> _AnswerReader -> _Exchange -> may_send -> request. Each request with a long answer was part of a reference cycle and stayed in memory, with its body, until the garbage collector came, while its share of the budget was released when its answer was framed.

A download now drops its reader, parser and first bytes when it is read to its end or closed, so there is no cycle.

--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -763,14 +763,15 @@
         `parser` is the h11 parser of the answer, or None for a plain answer, whose `length` is known.
         """
         self.length = length
-        self._reader = reader
+        # None once closed. The reader leads to the request, whose answer leads here: such a reference cycle
+        # would keep the bodies of both until the garbage collector comes.
+        self._reader: _AnswerReader | None = reader
         self._wire = wire
         self._parser = parser
         self._body = body
         self._remaining = length  # bytes still to come; None if the length was not declared
         self._received = 0
         self._excess = False  # more bytes came than the declared length
-        self._closed = False
 
     async def read(self) -> bytes:
         """Return the next piece, empty at the end. Raises OSError if the body is truncated or too long."""
@@ -791,26 +792,37 @@
 
     def close(self) -> None:
         """Close the connection unless the body has been read to its end."""
-        if not self._closed:
-            self._closed = True
-            self._reader.close()
+        reader = self._detach()
+        if reader is not None:
+            reader.close()
 
     def _finish(self, complete: bool) -> bytes:
         """Finish the body. The connection is kept if nothing follows the answer."""
-        if not self._closed:
-            self._closed = True
-            self._reader.finish_stream(complete)
+        reader = self._detach()
+        if reader is not None:
+            reader.finish_stream(complete)
         return b""
 
+    def _detach(self) -> _AnswerReader | None:
+        """Free what is held; return the reader, or None if the body is closed already."""
+        reader, self._reader = self._reader, None
+        self._body, self._parser = b"", None
+        return reader
+
+    def _pause_limit_s(self) -> float:
+        if self._reader is None:
+            raise BodyAborted("the answer was closed while it was read")
+        return self._reader.pause_limit_s()
+
     async def _read_next(self) -> bytes:
-        if self._closed:
+        if self._reader is None:
             return b""
         if self._parser is not None:
             return await self._read_next_h11(self._parser)
         assert self._remaining is not None
         if self._remaining == 0:
             return self._finish(not self._excess)
-        data = await self._wire.receive(self._reader.pause_limit_s())
+        data = await self._wire.receive(self._pause_limit_s())
         if not data:
             raise BodyAborted("the answer is truncated")
         self._excess = len(data) > self._remaining
@@ -821,7 +833,7 @@
             try:
                 event = parser.next_event()
                 if event is h11.NEED_DATA:
-                    parser.receive_data(await self._wire.receive(self._reader.pause_limit_s()))
+                    parser.receive_data(await self._wire.receive(self._pause_limit_s()))
                     continue
             except h11.RemoteProtocolError as fault:
                 raise BodyAborted(str(fault)) from None
