Keep no copies of requests in the variables of waiting coroutines

Cause: a local variable keeps its bytes while its coroutine waits. On a new connection to a server _run_on and read kept the serialized request, head and body, until the answer had come; a request that came in several reads was kept in _read_requests and _read_plain as received, beside the body copied from it, until its last byte (for a streamed body: through the whole upload). A streamed body's last piece was held back whole, where its last byte is enough.

Change: what is not yet written or parsed is an attribute that is taken, once, by whoever uses it. Of a streamed body only the last byte is held back.

Tests: test_a_request_is_in_memory_once_while_its_server_works, in one part and in two, failed before.

--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -527,7 +527,7 @@
     __slots__ = (
         "__weakref__", "_abort", "_agent", "_answered_last", "_blank_bytes", "_deadline", "_discarding",
         "_had_request", "_idle_since", "_incoming", "_linger", "_listener", "_partial", "_pending",
-        "_task", "_upload", "_writer", "waited_us", "wire",
+        "_task", "_unparsed", "_upload", "_writer", "waited_us", "wire",
     )  # fmt: skip
 
     def __init__(self, listener: Listener, wire: Wire) -> None:
@@ -540,6 +540,9 @@
         self._partial = False  # part of a request has arrived
         self._had_request = False  # a request has started on this connection
         self._blank_bytes = 0  # of empty lines since the last request
+        # Received, and not yet parsed. As arguments and variables of the methods below, these bytes would
+        # stay in memory until the whole request is read.
+        self._unparsed = b""
         self._abort = False
         self._answered_last = False
         self._discarding = False  # input is read and discarded from now on
@@ -693,48 +696,52 @@
     # Requests
 
     async def _read_requests(self) -> None:
-        rest = b""
         while True:
             parser: h11.Connection | None = None
             try:
-                data, at = await self._read_until_head(rest)
-                plain = request_head(data[:at]) if at else None
+                at = await self._read_until_head()
+                plain = request_head(self._unparsed[:at]) if at else None
                 if plain is not None:
-                    last, rest = await self._read_plain(plain, data, at)
+                    last = await self._read_plain(plain, at)
                 else:
                     # Each request has its own parser: h11 does not parse the next request while an answer is
                     # pending.
                     parser = h11.Connection(h11.SERVER, MAX_HEAD_BYTES)
-                    last = await self._read_with_h11(parser, data)
-                    rest = parser.trailing_data[0]
+                    last = await self._read_with_h11(parser)
+                    self._unparsed = parser.trailing_data[0]
             except BadRequest as bad:
                 self._agent.events.add(Event.REFUSED, bad.reason)
                 self._drop_incoming()
+                self._unparsed = b""
                 # What follows is discarded, so the answer says that it is the last one.
                 self._enqueue_text(parser, bad.status, str(bad), last=True)
                 last = True
-            # Otherwise these names keep the bytes of the request in memory while the connection is idle.
-            data, plain = b"", None
+            plain = None  # otherwise it stays in memory while the connection is idle
             if last:
                 await self._discard()
 
-    async def _read_until_head(self, data: bytes) -> tuple[bytes, int]:
-        """Return the bytes of the next request, and where its head ends; 0 if h11 has to decide.
+    def _take_unparsed(self) -> bytes:
+        data, self._unparsed = self._unparsed, b""
+        return data
+
+    async def _read_until_head(self) -> int:
+        """Read until a head is in `_unparsed`, and return where it ends; 0 if h11 has to decide.
 
         Empty lines before a request are skipped (RFC 9112, 2.2).
         """
-        data = data.lstrip(b"\r\n")
+        self._unparsed = self._unparsed.lstrip(b"\r\n")
         searched = 0
-        if data:
+        if self._unparsed:
             self._begin_request()
         while True:
-            if data:
-                found = HEAD_END.search(data, searched)
+            length = len(self._unparsed)
+            if length:
+                found = HEAD_END.search(self._unparsed, searched)
                 if found is not None:
-                    return data, found.end()
-                if data[0] < 0x21 or len(data) > MAX_HEAD_BYTES:
-                    return data, 0
-                searched = max(0, len(data) - 2)
+                    return found.end()
+                if self._unparsed[0] < 0x21 or length > MAX_HEAD_BYTES:
+                    return 0
+                searched = max(0, length - 2)
             received = await self._receive()
             if not self._partial:
                 self._blank_bytes += len(received)
@@ -744,12 +751,13 @@
                     raise BadRequest(400, "no request came")
                 if received:
                     self._begin_request()
-            data += received
+            self._unparsed += received
+            received = b""
 
-    async def _read_plain(self, head: RequestHead, data: bytes, at: int) -> tuple[bool, bytes]:
-        """Read the rest of a plain request and accept it.
+    async def _read_plain(self, head: RequestHead, at: int) -> bool:
+        """Read the rest of a plain request, whose head ends at this offset, and accept it.
 
-        Returns whether it is the last one of its connection, and the bytes after it.
+        Returns whether it is the last one of its connection.
         """
         if len(self._pending) >= MAX_PIPELINED:
             raise BadRequest(429, "too many requests at once on one connection")
@@ -757,27 +765,28 @@
         if head.length > MAX_STREAMED_BODY or (call is None and head.length > MAX_BUFFERED_BODY):
             raise BadRequest(413, "the body is too long")
         incoming = self._begin_body(call, head.length)
-        end = at + head.length
-        incoming.add(data[at:end])
-        rest = data[end:]
+        self._unparsed = self._unparsed[at:]
+        incoming.add(self._split_unparsed(head.length))
         while len(incoming.data) < min(head.length, MAX_BUFFERED_BODY):
             await self._wait_for_room(incoming, call)
-            received = await self._receive_body(incoming)
-            missing = head.length - len(incoming.data)
-            rest = received[missing:]
-            incoming.add(received[:missing])
+            self._unparsed = await self._receive_body(incoming)
+            incoming.add(self._split_unparsed(head.length - len(incoming.data)))
             self._note_progress(incoming, len(incoming.data))
         streamed_length = head.length if len(incoming.data) < head.length else -1
         upload = self._take(None, call, incoming.share, head.last, streamed_length)
         while upload is not None and upload.received < head.length:
             await self._wait_for_upload(incoming, upload)
-            received = await self._receive_body(incoming)
-            missing = head.length - upload.received
-            rest = received[missing:]
-            upload.feed(received[:missing])
+            self._unparsed = await self._receive_body(incoming)
+            upload.feed(self._split_unparsed(head.length - upload.received))
             self._note_progress(incoming, upload.received)
         self._finish_upload()
-        return head.last, rest
+        return head.last
+
+    def _split_unparsed(self, length: int) -> bytes:
+        """Take up to so many bytes off the front of what is not yet parsed."""
+        data = self._unparsed[:length]
+        self._unparsed = self._unparsed[length:]
+        return data
 
     def _begin_body(self, call: Call | None, length: int | None) -> _IncomingBody:
         """Begin to read a body into the call; that of a readiness check (None) is read and dropped."""
@@ -939,13 +948,13 @@
             self._take(None, call, share, False)
         return True
 
-    async def _read_with_h11(self, parser: h11.Connection, data: bytes) -> bool:
+    async def _read_with_h11(self, parser: h11.Connection) -> bool:
         """Read one request that is not plain with h11 and accept it.
 
         Returns whether it is the last one of its connection.
         """
         try:
-            head = await self._read_head(parser, data)
+            head = await self._read_head(parser)
             check_framing(head)
             if len(self._pending) >= MAX_PIPELINED:
                 raise BadRequest(429, "too many requests at once on one connection")
@@ -1058,8 +1067,8 @@
             self._enqueue(_PendingAnswer(parser, held.answer, share, held, last))
         return self._upload
 
-    async def _read_head(self, parser: h11.Connection, rest: bytes) -> h11.Request:
-        parser.receive_data(rest)
+    async def _read_head(self, parser: h11.Connection) -> h11.Request:
+        parser.receive_data(self._take_unparsed())
         while True:
             event = parser.next_event()
             if isinstance(event, h11.Request):
@@ -1211,6 +1220,7 @@
                     data += pending.parser.send(h11.Data(data=piece)) or b""
                 else:
                     data += b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece
+                piece = b""
                 await self.wire.send(data, STALL_S)
                 data = b""
             if pending.parser is not None:
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -307,6 +307,9 @@
         self._deadline = time.monotonic() + timeout_us / 1e6
         self._may_send = may_send
         self.sent = False  # the last byte may have left, so the request may run
+        # What `read` has to write first. Passed as an argument, it would stay in memory, in the frames of all
+        # callers, until the answer has come.
+        self.unwritten = b""
         self._stopped = False  # the last byte may not be sent any more
         # The answer, if it was received but not read at the timeout
         self.unread_result: AttemptResult | None = None
@@ -345,10 +348,15 @@
     async def _run_on(self, wire: Wire, reused: bool, without_delay: bool) -> AttemptResult | None:
         """Run the exchange on this connection; None if it broke before the last byte was written."""
         try:
-            data = self.frame()
+            reader = self._start(wire, reused, without_delay)
         except BaseException:
             self._upstream.drop(wire)
             raise
+        return await self.read(reader, without_delay)
+
+    def _start(self, wire: Wire, reused: bool, without_delay: bool) -> _AnswerReader:
+        """Start to write the request, or leave it in `unwritten`; return the reader of its answer."""
+        data = self.frame()
         upload = self._call.upload
         # A request that is sent without delay and fits the kernel's buffer needs no separate writer.
         inline = without_delay and len(data) <= SEND_BYTES
@@ -357,18 +365,19 @@
             writer = _StreamingWriter(self, wire, data, upload)
         elif not inline:
             writer = _Writer(self, wire, data, reused, without_delay)
-        reader = _AnswerReader(self, wire, writer, reused)
-        return await self.read(reader, data if writer is None else b"", without_delay)
+        if writer is None:
+            self.unwritten = data
+        return _AnswerReader(self, wire, writer, reused)
 
-    async def resume(self, reader: _AnswerReader, data: bytes) -> AttemptResult:
-        """Continue an exchange begun on a reused connection, with `data` still to be written."""
-        return await self.read(reader, data, True) or await self.run_on_new_connection()
+    async def resume(self, reader: _AnswerReader) -> AttemptResult:
+        """Continue an exchange begun on a reused connection."""
+        return await self.read(reader, True) or await self.run_on_new_connection()
 
-    async def read(self, reader: _AnswerReader, data: bytes, without_delay: bool) -> AttemptResult | None:
-        """Write the remaining data and read the answer."""
+    async def read(self, reader: _AnswerReader, without_delay: bool) -> AttemptResult | None:
+        """Write what is left of the request and read the answer."""
         try:
-            if data:
-                await self.write(reader.wire, data, reader.reused, without_delay)
+            if self.unwritten:
+                await self.write(reader.wire, self._take_unwritten(), reader.reused, without_delay)
             return await reader.run()
         except (OSError, _UnexpectedData, h11.RemoteProtocolError, InvalidAnswer) as fault:
             return self.failure_result(reader, fault)
@@ -381,6 +390,10 @@
             reader.close()
             raise
 
+    def _take_unwritten(self) -> bytes:
+        data, self.unwritten = self.unwritten, b""
+        return data
+
     def failure_result(self, reader: _AnswerReader, fault: Exception) -> AttemptResult | None:
         """Return the result of an exchange that failed; None if its last byte was not written."""
         reader.close()
@@ -627,7 +640,8 @@
             exchange.count_written()
         else:
             exchange.sent = False
-            self._continue_in_task(data[sent:])
+            exchange.unwritten = data[sent:]
+            self._continue_in_task()
 
     def _on_data(self, data: bytes | OSError) -> None:
         reader = self._reader
@@ -639,14 +653,14 @@
         except (OSError, _UnexpectedData, h11.RemoteProtocolError, InvalidAnswer) as fault:
             ended = self._exchange.failure_result(reader, fault)
             if ended is None:
-                self._continue_in_task(None)
+                self._continue_in_task(new_connection=True)
                 return
         except Exception:
             log.exception("reading an answer raised an exception")
             reader.close()
             ended = AttemptResult(Outcome.UNKNOWN)
         if ended is None:
-            self._continue_in_task(b"")
+            self._continue_in_task()
         else:
             self._report(ended)
 
@@ -675,21 +689,19 @@
         if done is not None:
             done(ended)
 
-    def _continue_in_task(self, data: bytes | None) -> None:
-        """Continue in a task: write the remaining data, then read; None starts on a new connection."""
+    def _continue_in_task(self, new_connection: bool = False) -> None:
+        """Continue in a task: write what is left, then read; or start on a new connection."""
         self._detach()
-        self._task = asyncio.create_task(self._run(data))
+        self._task = asyncio.create_task(self._run(new_connection))
         self._task.add_done_callback(self._on_task_done)
 
-    async def _run(self, data: bytes | None) -> AttemptResult:
+    async def _run(self, new_connection: bool) -> AttemptResult:
         self._task_started = True
         exchange = self._exchange
         left_s = max(0.0, self._deadline - self._loop.time())
-        if data is None:
+        if new_connection:
             return await self._upstream.run_with_timeout(left_s, exchange, exchange.run_on_new_connection)
-        return await self._upstream.run_with_timeout(
-            left_s, exchange, partial(exchange.resume, self._reader, data)
-        )
+        return await self._upstream.run_with_timeout(left_s, exchange, partial(exchange.resume, self._reader))
 
     def _on_task_done(self, task: asyncio.Task[AttemptResult]) -> None:
         self._task = None  # a cycle with its exception's frames would wait for the garbage collector
@@ -718,10 +730,13 @@
         self._task = asyncio.create_task(self._run(head, upload))
 
     async def _run(self, data: bytes, upload: Upload) -> None:
+        """Write the head in `data` and the body. Only the last byte of what has come is held back."""
         try:
             while piece := await upload.read():
-                await self._wire.send(data, STREAM_IDLE_TIMEOUT_S)
-                data = b"%x\r\n%b\r\n" % (len(piece), piece) if upload.length is None else piece
+                data += b"%x\r\n%b\r\n" % (len(piece), piece) if upload.length is None else piece
+                piece = b""
+                await self._wire.send(memoryview(data)[:-1], STREAM_IDLE_TIMEOUT_S)
+                data = data[-1:]
             if upload.length is None:
                 data += b"0\r\n\r\n"
             await self._wire.send(memoryview(data)[:-1], STREAM_IDLE_TIMEOUT_S)
--- a/tests/net/test_memory.py
+++ b/tests/net/test_memory.py
@@ -4,12 +4,25 @@
 
 import asyncio
 import gc
+import socket
+import tracemalloc
 from collections.abc import Iterator
 
 import pytest
 
+from sorrelfront.lab.http1 import make_config, member
 from sorrelfront.messages import Call
-from tests.loopback import Backend, Client, answer, async_test, request, running_agent, until
+from sorrelfront.platform.config import parse
+from tests.loopback import (
+    AgentHarness,
+    Backend,
+    Client,
+    answer,
+    async_test,
+    request,
+    running_agent,
+    until,
+)
 
 LONG = bytes(300_000)
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(LONG), LONG)
@@ -41,6 +54,46 @@
     await client.reader.readexactly(1_000)
 
 
+@pytest.fixture
+def traced() -> Iterator[None]:
+    """Count the bytes that Python allocates."""
+    tracemalloc.start()
+    yield
+    tracemalloc.stop()
+
+
+@pytest.mark.usefixtures("traced")
+@pytest.mark.parametrize("parts", [1, 2])
+def test_a_request_is_in_memory_once_while_its_server_works(parts: int) -> None:
+    """Guards against copies of requests that the variables of waiting coroutines keep."""
+
+    async def scenario() -> None:
+        count, body = 20, bytes(60_000)
+        silent = socket.create_server(("127.0.0.1", 0), backlog=count)  # the kernel takes what is sent
+        host, port = silent.getsockname()
+        made = AgentHarness(parse(make_config("127.0.0.1:9", [member("b0", f"{host}:{port}")])))
+        clients = [await made.client() for _ in range(count)]
+        before = tracemalloc.get_traced_memory()[0]
+        for part in range(parts):
+            for number, client in enumerate(clients):
+                data = request(f"r{number}", "book", body)
+                client.send(data[part * len(data) // parts : (part + 1) * len(data) // parts])
+                await client.writer.drain()
+            if part + 1 < parts:
+                await until(lambda: made.listener.bodies.held > count * len(body) // 3)
+                assert tracemalloc.get_traced_memory()[0] - before < 1.5 * made.listener.bodies.held
+        await until(lambda: made.upstream.requests_written == count)
+        used = tracemalloc.get_traced_memory()[0] - before
+        assert made.listener.bodies.held == count * len(body)
+        assert used < 1.5 * made.listener.bodies.held
+        made.agent.close()
+        silent.close()
+        for client in clients:
+            client.close()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.usefixtures("no_collector")
 @pytest.mark.parametrize("reply", [answer(LONG), CHUNKED], ids=["length", "chunked"])
 def test_a_request_with_a_long_answer_is_freed_when_it_is_answered(reply: bytes) -> None:
