--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -42,7 +42,7 @@
 )
 from sorrelfront.fronts.http1 import Listener
 from sorrelfront.messages import Address, Update
-from sorrelfront.net.budget import BodyBudget, Descriptors
+from sorrelfront.net.budget import Descriptors, MemoryBudget
 from sorrelfront.net.process_memory import anonymous_bytes
 from sorrelfront.platform.config import BadConfig, parse
 from sorrelfront.signals import ignore_until_exit, on_signal
@@ -109,7 +109,7 @@
         self._current_addresses: set[Address] = set()
         self._pending_estimates: object = None  # a snapshot to be adopted once the list is known
         self._closing_listeners: set[asyncio.Task[None]] = set()  # of listeners that a reload removed
-        self._body_budget: BodyBudget | None = None
+        self._memory_budget: MemoryBudget | None = None
         self._zookeeper_source: EphemeralNodeSource | None = None  # the membership source, if it is ZooKeeper
         self._registry_source: registry.Discovery | None = None  # the same, if it is the registry
         self._update_agent: Callable[[Update], None] = lambda update: None  # delivers to the agent
@@ -304,7 +304,7 @@
     def _start_agent(self, config: Config, table: Message) -> None:
         descriptors = Descriptors(config.sockets)
         upstream = Upstream(descriptors.backends, config.idle_us, config.settings.connect_timeout_us)
-        self._body_budget = BodyBudget(config.memory_bytes)
+        self._memory_budget = MemoryBudget(config.memory_bytes)
         self._table = table  # its `source` selects the membership source
         governed = table.get("fleet") is not None and table["fleet"]["voters"]
         if table.get("site") is not None:
@@ -325,7 +325,7 @@
             if governed:
                 self._enable_policy(table)
         if self._partner_sites is not None:
-            self._partner_sites.start_listening(config, self._body_budget)
+            self._partner_sites.start_listening(config, self._memory_budget)
             if self._fleet_member is not None and self._fleet_member.replicator is not None:
                 self._partner_sites.replicate_offers(self._fleet_member.replicator)
         if config.cached_list.backends:
@@ -477,7 +477,7 @@
         Listeners whose socket is not among them stay until the commit, when all instances have applied the
         configuration, so that a rollback is possible.
         """
-        assert self._agent is not None and self._body_budget is not None
+        assert self._agent is not None and self._memory_budget is not None
         wanted: dict[Address, socket.socket] = {sock.getsockname(): sock for sock in sockets}
         self._current_addresses = set(wanted)
         descriptors = Descriptors(config.sockets)
@@ -488,7 +488,7 @@
             if address in self._listeners:
                 self._listeners[address].resize(descriptors, config.memory_bytes)
             else:
-                self._listeners[address] = Listener(self._agent, sock, descriptors, self._body_budget)
+                self._listeners[address] = Listener(self._agent, sock, descriptors, self._memory_budget)
 
     def _commit(self) -> None:
         """Commit the last configuration: drain and close the listeners that it does not name."""
@@ -506,10 +506,10 @@
             "connections": sum(listener.connections for listener in self._listeners.values()),
             "servers": len(agent.balancer.servers), "ready_servers": len(agent.balancer.ready),
         }  # fmt: skip
-        if self._body_budget is not None:
+        if self._memory_budget is not None:
             figures["memory"] = {
-                "held": self._body_budget.held,
-                "budget": self._body_budget.max_bytes,
+                "held": self._memory_budget.held,
+                "budget": self._memory_budget.max_bytes,
                 "anonymous": anonymous_bytes(),
             }
         if self._zookeeper_source is not None:
--- a/sorrelfront/daemon/site_gateway.py
+++ b/sorrelfront/daemon/site_gateway.py
@@ -31,7 +31,7 @@
 from sorrelfront.decisions.sites.terms import terms
 from sorrelfront.fronts.http1 import Listener
 from sorrelfront.lists import parse_address
-from sorrelfront.net.budget import BodyBudget, Descriptors
+from sorrelfront.net.budget import Descriptors, MemoryBudget
 from sorrelfront.platform.config import BadConfig
 from sorrelfront.sites.keys import BadSiteKey, Keys, load_private_key
 from sorrelfront.sites.requests import Forwarder, ForwardingAgent, Gateway
@@ -125,7 +125,7 @@
         self._forwarder = self._agent.forwarder = Forwarder(self.border, config, upstream)
         return self._agent
 
-    def start_listening(self, config: Config, bodies: BodyBudget) -> None:
+    def start_listening(self, config: Config, memory: MemoryBudget) -> None:
         """Start to listen for advertisements and requests from partners.
 
         Raises:
@@ -138,7 +138,7 @@
                 gateway,
                 parse_address(self._table["gateway"]),
                 Descriptors(config.sockets),
-                bodies,
+                memory,
             )
         except OSError as error:
             raise BadConfig(f"site.gateway: {self._table['gateway']}: {error.strerror}") from None
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -25,7 +25,13 @@
 from sorrelfront.fronts.request_head import BadRequest, RejectReason, check_framing, parse_call, path_of
 from sorrelfront.messages import Address, Answer, Call, FinalAnswer, Headers, Refused, Stream
 from sorrelfront.net.bodies import CLIENT_IDLE_S, UnreadTime, Upload
-from sorrelfront.net.budget import MAX_BUFFERED_BODY, MAX_STREAMED_BODY, BodyBudget, BodyShare, Descriptors
+from sorrelfront.net.budget import (
+    MAX_BUFFERED_BODY,
+    MAX_STREAMED_BODY,
+    Descriptors,
+    MemoryBudget,
+    MemoryShare,
+)
 from sorrelfront.net.heads import HEAD_END, MAX_HEAD_BYTES, RequestHead, frame_message, request_head
 from sorrelfront.net.http import (
     MAX_CHUNKS_PER_TURN,
@@ -144,7 +150,7 @@
 
     parser: h11.Connection | None  # None for a plain request, whose answer is framed directly
     answer: asyncio.Future[FinalAnswer]
-    share: BodyShare | None = None
+    share: MemoryShare | None = None
     held: PendingRequest | None = None
     last: bool = False  # no request after this one is read
 
@@ -153,7 +159,7 @@
 class _IncomingBody:
     """The body of the request that is being read."""
 
-    share: BodyShare
+    share: MemoryShare
     data: bytearray  # what is buffered of it
     unread: UnreadTime
     began: float  # monotonic seconds, later by the time in which it could not arrive
@@ -177,14 +183,14 @@
         agent: RequestHandler,
         address: Address | socket.socket,
         descriptors: Descriptors,
-        bodies: BodyBudget,
+        memory: MemoryBudget,
     ) -> None:
         """Listen at the address, or on a socket that listens already, which is owned from here on.
 
         The queue of such a socket may be shared with other processes. Raises OSError.
         """
         self.agent = agent
-        self.bodies = bodies
+        self.memory = memory
         self.closing = False
         self._drained_at: float | None = None  # when operators started to drain clients from here
         self._retired = False  # another process accepts the new connections
@@ -273,7 +279,7 @@
         """Apply new limits. Connections over a lower limit are closed as they become idle."""
         clients = self._max_clients = descriptors.clients
         self._max_active = descriptors.max_active
-        self.bodies.resize(memory_bytes)
+        self.memory.resize(memory_bytes)
         for _ in range(len(self._clients) - clients):
             if not self._evict():
                 break
@@ -791,7 +797,7 @@
     def _begin_body(self, call: Call | None, length: int | None) -> _IncomingBody:
         """Begin to read a body into the call; that of a readiness check (None) is read and dropped."""
         data = bytearray() if call is None else call.payload.body
-        incoming = _IncomingBody(self._listener.bodies.share(), data, UnreadTime(length), time.monotonic())
+        incoming = _IncomingBody(self._listener.memory.share(), data, UnreadTime(length), time.monotonic())
         self._incoming = incoming
         return incoming
 
@@ -827,7 +833,7 @@
         finally:
             now = time.monotonic()
             unread.resume(now)
-            self._count_wait(WaitReason.ROOM, now - began, self._listener.bodies.describe())
+            self._count_wait(WaitReason.ROOM, now - began, self._listener.memory.describe())
 
     async def _receive_body(self, incoming: _IncomingBody) -> bytes:
         """Return the next bytes of a body."""
@@ -940,7 +946,7 @@
         self._listener.received(self)
         self._begin_request()
         call.payload.body += data[found.end() :]
-        share = self._listener.bodies.share()
+        share = self._listener.memory.share()
         share.add(head.length)
         # This runs in a callback of the event loop, where the exception must not escape. The end of stream is
         # still unread, and closes the connection next.
@@ -1014,7 +1020,7 @@
         self,
         parser: h11.Connection | None,
         call: Call | None,
-        share: BodyShare,
+        share: MemoryShare,
         last: bool,
         length: int | None = -1,
     ) -> Upload | None:
@@ -1275,7 +1281,7 @@
         answer = _to_answer(pending.answer.result())
         if pending.share is not None:
             pending.share.release()
-        pending.share = self._listener.bodies.share()
+        pending.share = self._listener.memory.share()
         pending.share.add(len(answer.body) if answer.stream is None else MAX_BUFFERED_BODY)
         # While draining or shutting down, an answer announces the close only if no input follows its request:
         # a request that has arrived but is not yet parsed would be discarded after such an answer.
--- a/sorrelfront/net/budget.py
+++ b/sorrelfront/net/budget.py
@@ -38,7 +38,7 @@
         )  # the most that clients hold for requests, as the deployment guarantees
 
 
-class BodyBudget:
+class MemoryBudget:
     """Limit on the bytes of buffered bodies. A connection that gets no share stops reading its client.
 
     Many long bodies that each wait for memory would deadlock. So the size of one body is reserved for the
@@ -51,8 +51,8 @@
         self.held = 0
         # Longer than SMALL_BODY and incomplete, with bytes to be read: waiting for room or just given some;
         # oldest first
-        self._growing: dict[BodyShare, None] = {}
-        self._stalled: dict[BodyShare, float] = {}  # whose clients have sent nothing more, and since when
+        self._growing: dict[MemoryShare, None] = {}
+        self._stalled: dict[MemoryShare, float] = {}  # whose clients have sent nothing more, and since when
         self._freed = asyncio.Event()
         self._stall_check: asyncio.TimerHandle | None = None  # while bodies wait for room
         self.resize(memory_bytes)
@@ -66,16 +66,16 @@
         """Return for the log what is held, of how much, and by how many incomplete bodies of which kind."""
         return f"{self.held} of {self.max_bytes} B, {len(self._growing)} grow, {len(self._stalled)} stalled"
 
-    def share(self) -> BodyShare:
+    def share(self) -> MemoryShare:
         """Return an empty share for one message."""
-        return BodyShare(self)
+        return MemoryShare(self)
 
-    def fits(self, share: BodyShare) -> bool:
+    def fits(self, share: MemoryShare) -> bool:
         """Return whether this growing body may grow now."""
         reserved = 0 if next(iter(self._growing)) is share else MAX_BUFFERED_BODY
         return self.held + reserved < self.max_bytes
 
-    async def wait_for_room(self, share: BodyShare) -> None:
+    async def wait_for_room(self, share: MemoryShare) -> None:
         """Wait until this body may grow, or is released. Ends stalled bodies if there is no room else."""
         self._growing.setdefault(share)
         while share in self._growing and not self.fits(share):
@@ -102,7 +102,7 @@
                 return True
         return False
 
-    def stall(self, share: BodyShare) -> None:
+    def stall(self, share: MemoryShare) -> None:
         """Note that the client of this incomplete body has sent nothing more."""
         self.stop_growing(share)
         self._stalled[share] = time.monotonic()
@@ -113,7 +113,7 @@
         if by < 0:
             self._freed.set()
 
-    def stop_growing(self, share: BodyShare) -> None:
+    def stop_growing(self, share: MemoryShare) -> None:
         """Remove the share from the growing and the stalled ones, if it is one of them."""
         self._stalled.pop(share, None)
         if share in self._growing:
@@ -121,12 +121,12 @@
             self._freed.set()
 
 
-class BodyShare:
+class MemoryShare:
     """The part of the budget that one message holds."""
 
     __slots__ = ("_budget", "_on_end", "held")
 
-    def __init__(self, budget: BodyBudget) -> None:
+    def __init__(self, budget: MemoryBudget) -> None:
         self._budget = budget
         self._on_end: Callable[[], bool] | None = None
         self.held = 0
--- a/sorrelfront/platform/service.py
+++ b/sorrelfront/platform/service.py
@@ -10,7 +10,7 @@
 from sorrelfront.agent import Agent
 from sorrelfront.agent_config import Config
 from sorrelfront.fronts.http1 import Listener
-from sorrelfront.net.budget import RESERVED_DESCRIPTORS, BodyBudget, Descriptors
+from sorrelfront.net.budget import RESERVED_DESCRIPTORS, Descriptors, MemoryBudget
 from sorrelfront.net.process_memory import anonymous_bytes
 from sorrelfront.net.transient import retry_transient
 from sorrelfront.platform.overrides_file import POLL_INTERVAL_S, OverridesFile
@@ -66,7 +66,7 @@
         descriptors = self._descriptors()
         where = address if self._predecessor is None else self._predecessor.listening
         self.listener = await retry_transient(
-            lambda: Listener(self._agent, where, descriptors, BodyBudget(memory))
+            lambda: Listener(self._agent, where, descriptors, MemoryBudget(memory))
         )
         if self._folder is not None:
             try:
@@ -123,8 +123,8 @@
         values["targets"] = agent.targets
         values["targets_disabled"] = agent.targets_excluded
         if self.listener is not None:
-            values["memory_held"] = self.listener.bodies.held
-            values["memory_budget"] = self.listener.bodies.max_bytes
+            values["memory_held"] = self.listener.memory.held
+            values["memory_budget"] = self.listener.memory.max_bytes
         anonymous = anonymous_bytes()
         if anonymous is not None:
             values["memory_anonymous"] = anonymous
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -23,7 +23,7 @@
     member,
     request,
 )
-from sorrelfront.net.budget import BodyBudget, Descriptors
+from sorrelfront.net.budget import Descriptors, MemoryBudget
 from sorrelfront.platform.config import parse
 from sorrelfront.sources.registry import watch
 from sorrelfront.upstreams.http1 import Upstream
@@ -56,8 +56,8 @@
         descriptors = Descriptors(config.sockets)
         self.upstream = Upstream(descriptors.backends, config.idle_us, config.settings.connect_timeout_us)
         self.agent = Agent(config, self.upstream, watch)
-        bodies = BodyBudget(config.memory_bytes)
-        self.listener = Listener(self.agent, ("127.0.0.1", 0), descriptors, bodies)
+        memory = MemoryBudget(config.memory_bytes)
+        self.listener = Listener(self.agent, ("127.0.0.1", 0), descriptors, memory)
         self.agent.start()
 
     async def client(self) -> Client:
--- a/tests/net/test_body_room.py
+++ b/tests/net/test_body_room.py
@@ -13,7 +13,7 @@
 from sorrelfront.fronts.request_head import RejectReason
 from sorrelfront.net import budget
 from sorrelfront.net.bodies import MAX_UNSEEN_BYTES, UnreadTime
-from sorrelfront.net.budget import MAX_BUFFERED_BODY, BodyShare
+from sorrelfront.net.budget import MAX_BUFFERED_BODY, MemoryShare
 from tests.loopback import AgentHarness, Backend, Client, answer, async_test, request, running_agent, until
 
 OK = answer(b"served")
@@ -26,17 +26,17 @@
     return head + b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
 
 
-def use_all_room(made: AgentHarness) -> BodyShare:
-    share = made.listener.bodies.share()
-    share.add(made.listener.bodies.max_bytes)
+def use_all_room(made: AgentHarness) -> MemoryShare:
+    share = made.listener.memory.share()
+    share.add(made.listener.memory.max_bytes)
     return share
 
 
-async def send_in_two(made: AgentHarness, client: Client, data: bytes) -> BodyShare:
+async def send_in_two(made: AgentHarness, client: Client, data: bytes) -> MemoryShare:
     """Send a request of which only the first part is read; the share returned takes all the memory."""
     share = use_all_room(made)
     client.send(data[:FIRST])
-    await until(lambda: made.listener.bodies.held > share.held)
+    await until(lambda: made.listener.memory.held > share.held)
     client.send(data[FIRST:])
     await client.writer.drain()
     return share
@@ -68,7 +68,7 @@
     async with running_agent(backend) as made:
         client = await made.client()
         share = await send_in_two(made, client, request("r", "book", BODY, "4000m"))
-        await until(lambda: len(made.listener.bodies._growing) == 1)
+        await until(lambda: len(made.listener.memory._growing) == 1)
         began = time.monotonic()
         await asyncio.sleep(0.5)
         waited_us = (time.monotonic() - began) * 1e6
@@ -129,9 +129,9 @@
 async def stalled_client(made: AgentHarness, name: str, length: int, sent: int) -> Client:
     """Return a client that has stopped in the middle of a body, all of whose bytes have been read."""
     client = await made.client()
-    before = made.listener.bodies.held
+    before = made.listener.memory.held
     client.send(request(name, "book", bytes(length))[: sent - length])
-    await until(lambda: made.listener.bodies.held >= before + min(sent, MAX_BUFFERED_BODY))
+    await until(lambda: made.listener.memory.held >= before + min(sent, MAX_BUFFERED_BODY))
     return client
 
 
@@ -148,7 +148,7 @@
     async def scenario() -> None:
         backend = await Backend(OK).start()
         async with running_agent(backend) as made:
-            bodies = made.listener.bodies
+            bodies = made.listener.memory
             stalled = [await stalled_client(made, f"s{at}", length, length - 1_000) for at in range(3)]
             bodies.max_bytes = bodies.held
             client = await made.client()
@@ -177,10 +177,10 @@
         data = [request(f"r{at}", "book", BODY) for at in range(4)]
         for client, whole in zip(clients, data, strict=True):
             client.send(whole[:FIRST])
-        await until(lambda: made.listener.bodies.held > share.held + 4 * (FIRST - 1_000))
+        await until(lambda: made.listener.memory.held > share.held + 4 * (FIRST - 1_000))
         for client, whole in zip(clients, data, strict=True):
             client.send(whole[FIRST:])
-        await until(lambda: len(made.listener.bodies._growing) == 4)
+        await until(lambda: len(made.listener.memory._growing) == 4)
         await asyncio.sleep(2 * budget.MIN_STALL_S)
         share.release()
         for client in clients:
@@ -196,4 +196,4 @@
     async with running_agent(await Backend(OK).start()) as made:
         client = await stalled_client(made, "s", 64_000, 63_000)
         assert (await client.answer())[0] == 408
-        assert made.listener.bodies.held == 0 and made.listener.connections == 1
+        assert made.listener.memory.held == 0 and made.listener.connections == 1
--- a/tests/net/test_long_bodies.py
+++ b/tests/net/test_long_bodies.py
@@ -661,7 +661,7 @@
             half = len(whole) - length // 2
             with socket.create_connection(made.listener.address) as peer:
                 peer.sendall(whole[:half])
-                await until(lambda: made.listener.bodies.held > 0 or server.began.is_set())
+                await until(lambda: made.listener.memory.held > 0 or server.began.is_set())
                 rest = threading.Thread(target=peer.sendall, args=(whole[half:],))
                 if sent_before_pause:
                     rest.start()
--- a/tests/net/test_memory.py
+++ b/tests/net/test_memory.py
@@ -80,12 +80,12 @@
                 client.send(data[part * len(data) // parts : (part + 1) * len(data) // parts])
                 await client.writer.drain()
             if part + 1 < parts:
-                await until(lambda: made.listener.bodies.held > count * len(body) // 3)
-                assert tracemalloc.get_traced_memory()[0] - before < 1.5 * made.listener.bodies.held
+                await until(lambda: made.listener.memory.held > count * len(body) // 3)
+                assert tracemalloc.get_traced_memory()[0] - before < 1.5 * made.listener.memory.held
         await until(lambda: made.upstream.requests_written == count)
         used = tracemalloc.get_traced_memory()[0] - before
-        assert made.listener.bodies.held == count * len(body)
-        assert used < 1.5 * made.listener.bodies.held
+        assert made.listener.memory.held == count * len(body)
+        assert used < 1.5 * made.listener.memory.held
         made.agent.close()
         silent.close()
         for client in clients:
--- a/tests/sources/test_zookeeper.py
+++ b/tests/sources/test_zookeeper.py
@@ -22,7 +22,7 @@
 from sorrelfront.lists import MalformedList, parse_address
 from sorrelfront.messages import Update
 from sorrelfront.net import zookeeper as net
-from sorrelfront.net.budget import BodyBudget, Descriptors
+from sorrelfront.net.budget import Descriptors, MemoryBudget
 from sorrelfront.net.jute import Stat
 from sorrelfront.platform.config import parse
 from sorrelfront.sources import zookeeper as source
@@ -151,7 +151,7 @@
             return EphemeralNodeSource(settings, 1, "i0", Clock(), lambda *_: Answering.UNKNOWN, on_update)
 
         agent = Agent(config, upstream, source)
-        listener = Listener(agent, ("127.0.0.1", 0), descriptors, BodyBudget(config.memory_bytes))
+        listener = Listener(agent, ("127.0.0.1", 0), descriptors, MemoryBudget(config.memory_bytes))
         agent.start()
         await until(lambda: len(agent.balancer.ready) == 3)
         # The process no longer serves, but its session is kept alive, as when a process hangs partly.
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -108,7 +108,7 @@
                 assert (await client.answer())[0] == 408
             assert await client.wait_closed()
             await until(lambda: made.listener.connections == 0)
-            assert made.listener.bodies.held == 0
+            assert made.listener.memory.held == 0
 
     asyncio.run(scenario())
 
@@ -189,17 +189,17 @@
     go, script = gated_script(ERROR)
     backend = await Backend(script).start()
     async with running_agent(backend) as made:
-        made.listener.bodies.max_bytes = 1
+        made.listener.memory.max_bytes = 1
         client = await made.client()
         client.send(request("asked"))
         await until(lambda: len(backend.received) == 1)
         client.send(request("next", "pay", bytes(60_000), more=more)[:10_000])
-        await until(lambda: made.listener.bodies.held > 4_096 or made.agent.pending_requests == 0)
+        await until(lambda: made.listener.memory.held > 4_096 or made.agent.pending_requests == 0)
         client.close()
         await until(lambda: made.agent.pending_requests == 0)
         go.set()
         await until(lambda: made.agent.attempts == 0)
-        assert len(backend.received) == 1 and made.listener.bodies.held == 0
+        assert len(backend.received) == 1 and made.listener.memory.held == 0
 
 
 @pytest.mark.parametrize("handler", ["on_request", "on_attempt_ended"])
@@ -327,8 +327,8 @@
 
             chunks = request("slow", "pay", more=CHUNKED).replace(b"Content-Length: 0\r\n", b"")
             slow = asyncio.create_task(ask("slow", chunks + b"1\r\nx\r\n" * 20_000 + b"0\r\n\r\n"))
-            await until(lambda: made.listener.bodies.held > 0)
-            assert made.listener.bodies.held < 5_000  # a read holds 10,000: the loop ran others meanwhile
+            await until(lambda: made.listener.memory.held > 0)
+            assert made.listener.memory.held < 5_000  # a read holds 10,000: the loop ran others meanwhile
             await ask("usual", request("usual"))
             await slow
             assert len(backend.received) == 2
