Measure the agent's peak memory under each kind of load that grows with connections

benchmarks/memory.py: bodies, stalled bodies, long answers, answers in two halves, clients that read slowly, pipelined requests, uploads and bodies that their servers read slowly, several at once; at the limits given, with usual requests beside them.

--- /dev/null
+++ b/benchmarks/memory.py
@@ -0,0 +1,344 @@
+"""Measure the peak memory of the agent against its limit, under load of one kind or of several at once.
+
+    .venv/bin/python -m benchmarks.memory                              # every load at 32, 64 and 192 MB
+    .venv/bin/python -m benchmarks.memory --limits 32:512 --loads stalled mixed --tree ../other --seconds 8
+
+Clients and servers run in this process, the agent in its own. As many clients as a deployment guarantees, a
+third of the descriptors, make the load; USUAL_CLIENTS of them send usual requests, and what becomes of these
+is counted. Memory is anonymous resident memory, sampled every SAMPLE_S. The agent is not killed over its
+limit. Prints one JSON object a run; the exit code is 1 if a peak is over PEAK_SHARE of its limit, or a usual
+request had no answer in time.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import socket
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from sorrelfront.lab.http1 import make_config, member
+from tests.test_process import free_address
+
+DEFAULT_LIMITS = ("32:256", "32:512", "64:512", "64:1024", "192:1024")  # MB and descriptors
+PEAK_SHARE = 0.9  # of the limit
+SERVERS = 8
+USUAL_CLIENTS = 8
+USUAL_BODY = bytes(24_000)
+USUAL_BUDGET_S = 2.0
+LATE_S = 0.5  # past its time an answer counts as late only; later as none
+SAMPLE_S = 0.02
+LONG_ANSWERS = (300_000, 450_000, 600_000, 800_000, 1_000_000)  # bytes
+SEGMENT_BYTES = 1_448  # as on an Ethernet; on the loopback interface the kernels buffer megabytes
+SMALL_BUFFER_BYTES = 8_192
+PIECE_BYTES = 16_384
+RETRY_S = 0.2  # after an answer other than 200
+
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+def request(name: str, body: bytes, length: int | None = None, **headers: object) -> bytes:
+    """Return a keyed request; `headers` tell the server what to do (`serve`)."""
+    lines = [
+        "POST /book HTTP/1.1", "Host: app", f"X-Call-Id: {name}", f"Idempotency-Key: k-{name}",
+        f"X-Budget: {int(USUAL_BUDGET_S * 1_000)}m",
+        f"Content-Length: {len(body) if length is None else length}",
+        *(f"X-Do-{key.capitalize()}: {value}" for key, value in headers.items()),
+    ]  # fmt: skip
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
+    """Return the start line and the headers of a message."""
+    first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    pairs = (line.partition(":") for line in lines if line)
+    return first, {name.lower(): value.strip() for name, _, value in pairs}
+
+
+async def skip(reader: asyncio.StreamReader, length: int, pause_s: float = 0.0) -> None:
+    """Read and drop so many bytes, with a pause after each piece."""
+    while length > 0:
+        piece = await reader.read(min(length, PIECE_BYTES))
+        if not piece:
+            raise ConnectionError
+        length -= len(piece)
+        if pause_s:
+            await asyncio.sleep(pause_s)
+
+
+async def skip_answer(reader: asyncio.StreamReader, pause_s: float = 0.0) -> int:
+    """Read and drop an answer; return its status. Raises LastAnswer if the connection closes."""
+    first, headers = await read_head(reader)
+    if "content-length" in headers:
+        await skip(reader, int(headers["content-length"]), pause_s)
+    else:
+        while size := int(await reader.readline(), 16):
+            await skip(reader, size + 2, pause_s)
+        await reader.readline()
+    status = int(first.split(" ")[1])
+    if "close" in headers.get("connection", ""):
+        raise LastAnswer(status)
+    return status
+
+
+class LastAnswer(ConnectionError):
+    """The connection closes after an answer with this status."""
+
+    def __init__(self, status: int) -> None:
+        self.status = status
+
+
+async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer requests one after another, as their X-Do headers say.
+
+    `read`: seconds between pieces of the body; `wait`: seconds before the answer; `answer`: its length in
+    bytes; `halt`: seconds in the middle of it.
+    """
+    try:
+        while True:
+            _, headers = await read_head(reader)
+            await skip(reader, int(headers.get("content-length", "0")), float(headers.get("x-do-read", "0")))
+            await asyncio.sleep(float(headers.get("x-do-wait", "0.01")))
+            body = bytes(int(headers.get("x-do-answer", "100")))
+            halt_s = float(headers.get("x-do-halt", "0"))
+            first = len(body) // 2 if halt_s else len(body)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body[:first])
+            await asyncio.sleep(halt_s)
+            writer.write(body[first:])
+            await writer.drain()
+    except (ConnectionError, asyncio.IncompleteReadError):
+        pass
+    finally:
+        writer.transport.abort()
+
+
+def listening_socket() -> socket.socket:
+    """Return a server's socket whose connections have small buffers."""
+    sock = socket.socket()
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * SMALL_BUFFER_BYTES)
+    sock.bind(("127.0.0.1", 0))
+    sock.listen(1_024)
+    return sock
+
+
+class Load:
+    """Clients of one agent."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.address = address
+        self.statuses: Counter[str] = Counter()
+        self.usual: Counter[str] = Counter()
+        self._count = 0
+
+    def name(self) -> str:
+        """Return a new request id."""
+        self._count += 1
+        return f"r{self._count}"
+
+    async def open(self, small: bool = False) -> Connection:
+        """Open a connection; with small buffers the kernels hold little of what is not read."""
+        sock = socket.socket()
+        sock.setblocking(False)
+        if small:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        await asyncio.get_running_loop().sock_connect(sock, self.address)
+        return await asyncio.open_connection(sock=sock, limit=PIECE_BYTES)
+
+    async def repeat(self, play: Callable[[Connection], Awaitable[None]], small: bool = False) -> None:
+        """Play on a connection again and again, and on a new one when it ends."""
+        while True:
+            writer = None
+            try:
+                connection = await self.open(small)
+                writer = connection[1]
+                while True:
+                    await play(connection)
+            except LastAnswer:
+                await asyncio.sleep(RETRY_S)
+            except (OSError, ValueError, asyncio.IncompleteReadError):
+                self.statuses["broken"] += 1
+                await asyncio.sleep(RETRY_S)
+            finally:
+                if writer is not None:
+                    writer.transport.abort()
+
+    async def exchange(
+        self, connection: Connection, data: bytes, answers: int = 1, pause_s: float = 0.0
+    ) -> None:
+        """Send requests and read their answers, with a pause after each piece."""
+        reader, writer = connection
+        writer.write(data)
+        for _ in range(answers):
+            try:
+                status = await skip_answer(reader, pause_s)
+            except LastAnswer as last:
+                self.statuses[str(last.status)] += 1
+                raise
+            self.statuses[str(status)] += 1
+        if status != 200:
+            await asyncio.sleep(RETRY_S)
+
+    # Kinds of load
+
+    async def bodies(self, connection: Connection) -> None:
+        """Send a body just short enough to be buffered whole."""
+        await self.exchange(connection, request(self.name(), bytes(64_000), wait=0.6))
+
+    async def stalled(self, connection: Connection) -> None:
+        """Send most of a body, and stop."""
+        await self.exchange(connection, request(self.name(), bytes(63_000), 64_000))
+
+    async def answers(self, connection: Connection) -> None:
+        """Get a long answer to a usual body."""
+        length = LONG_ANSWERS[self._count % len(LONG_ANSWERS)]
+        await self.exchange(connection, request(self.name(), bytes(36_000), wait=0.3, answer=length))
+
+    async def halves(self, connection: Connection) -> None:
+        """Get an answer just short enough to be buffered whole, whose second half comes later."""
+        await self.exchange(connection, request(self.name(), b"", answer=64_000, halt=0.25))
+
+    async def slow(self, connection: Connection) -> None:
+        """Read a long answer slowly."""
+        await self.exchange(connection, request(self.name(), b"", answer=1_000_000), pause_s=0.5)
+
+    async def pipelined(self, connection: Connection) -> None:
+        """Send many requests at once, whose answers come before that of the first."""
+        more = [request(self.name(), b"", answer=60_000) for _ in range(15)]
+        await self.exchange(connection, b"".join([request(self.name(), b"", wait=1.0), *more]), 16)
+
+    async def uploads(self, connection: Connection) -> None:
+        """Send a long body to a server that reads it slowly."""
+        await self.exchange(connection, request(self.name(), bytes(500_000), read=0.05))
+
+    async def unread(self, connection: Connection) -> None:
+        """Send a body to a server that reads it too slowly."""
+        await self.exchange(connection, request(self.name(), bytes(64_000), read=1.0))
+
+    async def usual_requests(self, connection: Connection) -> None:
+        """Send a usual request and note what became of it."""
+        began = time.monotonic()
+        reader, writer = connection
+        writer.write(request(self.name(), USUAL_BODY))
+        try:
+            async with asyncio.timeout(USUAL_BUDGET_S + LATE_S):
+                status = await skip_answer(reader)
+        except LastAnswer as last:
+            self.usual[str(last.status)] += 1
+            raise
+        except (TimeoutError, OSError, asyncio.IncompleteReadError):
+            self.usual["none"] += 1
+            raise ConnectionError from None
+        late = time.monotonic() - began > USUAL_BUDGET_S
+        self.usual["late" if late else str(status)] += 1
+        await asyncio.sleep(0.05 if status == 200 else RETRY_S)
+
+
+LOADS = {
+    "none": (), "bodies": ("bodies",), "stalled": ("stalled",), "answers": ("answers",),
+    "halves": ("halves",), "slow": ("slow",), "pipelined": ("pipelined",), "uploads": ("uploads",),
+    "unread": ("unread",), "mixed": ("stalled", "answers", "slow", "bodies"),
+}  # fmt: skip
+SMALL_BUFFERS = ("slow",)
+
+
+def anonymous_kb(pid: int) -> int:
+    """Return the anonymous resident memory of a process in kB."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("RssAnon:"):
+            return int(line.split()[1])
+    raise RuntimeError("the kernel does not tell the memory of the agent")
+
+
+async def peak_under(load: Load, kinds: tuple[str, ...], clients: int, pid: int, seconds: float) -> int:
+    """Run the clients for so many seconds and return the agent's peak in kB."""
+    tasks = [asyncio.create_task(load.repeat(load.usual_requests)) for _ in range(USUAL_CLIENTS)]
+    for at in range(clients - USUAL_CLIENTS if kinds else 0):
+        kind = kinds[at % len(kinds)]
+        tasks.append(asyncio.create_task(load.repeat(getattr(load, kind), kind in SMALL_BUFFERS)))
+        await asyncio.sleep(0.002)
+    peak_kb, until = 0, time.monotonic() + seconds
+    while time.monotonic() < until:
+        peak_kb = max(peak_kb, anonymous_kb(pid))
+        await asyncio.sleep(SAMPLE_S)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return peak_kb
+
+
+async def measure(tree: str, memory_mb: int, sockets: int, name: str, seconds: float) -> dict[str, object]:
+    """Start the agent of a tree, put it under this load and return the figures."""
+    listening = [listening_socket() for _ in range(SERVERS)]
+    servers = [await asyncio.start_server(serve, sock=sock, limit=PIECE_BYTES * 2) for sock in listening]
+    members = [member(f"b{at}", "{}:{}".format(*sock.getsockname())) for at, sock in enumerate(listening)]
+    config = make_config("127.0.0.1:9", members)
+    config["limits"] = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
+    address = free_address()
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "config.json"
+        path.write_text(json.dumps(config))
+        environ = {
+            **os.environ, "BALANCER_CONFIG": str(path), "BALANCER_DISCOVERY": "127.0.0.1:9",
+            "BALANCER_LISTEN": "{}:{}".format(*address), "TMPDIR": folder,
+        }  # fmt: skip
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "sorrelfront.platform", cwd=tree, env=environ,
+            stderr=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
+        try:
+            load = Load(address)
+            while True:
+                with contextlib.suppress(OSError):
+                    (await load.open())[1].close()
+                    break
+                await asyncio.sleep(0.02)
+            peak_kb = await peak_under(load, LOADS[name], sockets // 3, process.pid, seconds)
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+            for server in servers:
+                server.close()
+    return {
+        "memory_mb": memory_mb, "sockets": sockets, "load": name,
+        "peak_kb": peak_kb, "share": round(peak_kb / memory_mb / 1_024, 3),
+        "usual": dict(load.usual), "others": dict(load.statuses),
+    }  # fmt: skip
+
+
+async def run(args: argparse.Namespace) -> int:
+    """Measure every load at every limit. Returns the exit code."""
+    exceeded = False
+    for limit in args.limits:
+        memory_mb, sockets = (int(item) for item in limit.split(":"))
+        for name in args.loads:
+            result = await measure(args.tree, memory_mb, sockets, name, args.seconds)
+            print(json.dumps(result), flush=True)
+            usual = result["usual"]
+            assert isinstance(usual, dict)
+            exceeded |= float(str(result["share"])) > PEAK_SHARE or "none" in usual or "late" in usual
+    return int(exceeded)
+
+
+def main() -> int:
+    """Measure, and print the figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--limits", nargs="+", default=DEFAULT_LIMITS, metavar="MB:DESCRIPTORS")
+    parser.add_argument("--loads", nargs="+", default=list(LOADS), choices=list(LOADS))
+    parser.add_argument("--tree", default=".", help="the source tree whose agent is measured")
+    parser.add_argument("--seconds", type=float, default=6.0)
+    return asyncio.run(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
