--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -376,6 +376,7 @@
 
     def abandon(self, held: PendingRequest) -> None:
         """Drop a request whose client has disconnected."""
+        held.on_answered = None  # what it refers to may refer to the request
         if self._remove_pending(held):
             self._dispatch(self.balancer.on_client_gone, api.ClientGone(held.id))
 
--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -303,8 +303,13 @@
 
     def _start_agent(self, config: Config, table: Message) -> None:
         descriptors = Descriptors(config.sockets)
-        upstream = Upstream(descriptors.backends, config.idle_us, config.settings.connect_timeout_us)
-        self._memory_budget = MemoryBudget(config.memory_bytes)
+        self._memory_budget = MemoryBudget(config.memory_bytes, config.sockets, anonymous_bytes())
+        upstream = Upstream(
+            descriptors.backends,
+            config.idle_us,
+            config.settings.connect_timeout_us,
+            self._memory_budget,
+        )
         self._table = table  # its `source` selects the membership source
         governed = table.get("fleet") is not None and table["fleet"]["voters"]
         if table.get("site") is not None:
@@ -480,13 +485,14 @@
         assert self._agent is not None and self._memory_budget is not None
         wanted: dict[Address, socket.socket] = {sock.getsockname(): sock for sock in sockets}
         self._current_addresses = set(wanted)
+        self._memory_budget.resize(config.memory_bytes, config.sockets)
         descriptors = Descriptors(config.sockets)
         share = max(1, len(wanted))
         descriptors.clients //= share
         descriptors.max_active //= share
         for address, sock in wanted.items():
             if address in self._listeners:
-                self._listeners[address].resize(descriptors, config.memory_bytes)
+                self._listeners[address].resize(descriptors)
             else:
                 self._listeners[address] = Listener(self._agent, sock, descriptors, self._memory_budget)
 
--- a/sorrelfront/daemon/site_gateway.py
+++ b/sorrelfront/daemon/site_gateway.py
@@ -175,7 +175,7 @@
         self._table = table
         self._apply(table)
         if self._listener is not None:
-            self._listener.resize(Descriptors(config.sockets), config.memory_bytes)
+            self._listener.resize(Descriptors(config.sockets))
 
     def _apply(self, table: dict[str, Any]) -> None:
         self.border.settings = _settings(table)
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -28,6 +28,10 @@
 from sorrelfront.net.budget import (
     MAX_BUFFERED_BODY,
     MAX_STREAMED_BODY,
+    MIN_READ_BYTES,
+    PIPELINED_REQUEST_BYTES,
+    SMALL_BODY,
+    AnswerShare,
     Descriptors,
     MemoryBudget,
     MemoryShare,
@@ -150,7 +154,7 @@
 
     parser: h11.Connection | None  # None for a plain request, whose answer is framed directly
     answer: asyncio.Future[FinalAnswer]
-    share: MemoryShare | None = None
+    share: MemoryShare | AnswerShare | None = None  # of the request, then of the answer while it waits
     held: PendingRequest | None = None
     last: bool = False  # no request after this one is read
 
@@ -163,12 +167,18 @@
     data: bytearray  # what is buffered of it
     unread: UnreadTime
     began: float  # monotonic seconds, later by the time in which it could not arrive
+    length: int | None  # of the whole body, None if it is not declared
 
     def add(self, received: bytes | bytearray) -> None:
         """Buffer received bytes."""
         self.data += received
         self.share.add(len(received))
 
+    def missing(self) -> int:
+        """Return how many bytes at most are still to be buffered."""
+        length = MAX_BUFFERED_BODY if self.length is None else min(self.length, MAX_BUFFERED_BODY)
+        return max(length - len(self.data), MIN_READ_BYTES)
+
     def drop(self) -> None:
         """Free what is buffered: nobody will use it."""
         self.share.release()
@@ -275,11 +285,10 @@
         elif self._sock.fileno() >= 0:
             self._resume()
 
-    def resize(self, descriptors: Descriptors, memory_bytes: int) -> None:
+    def resize(self, descriptors: Descriptors) -> None:
         """Apply new limits. Connections over a lower limit are closed as they become idle."""
         clients = self._max_clients = descriptors.clients
         self._max_active = descriptors.max_active
-        self.memory.resize(memory_bytes)
         for _ in range(len(self._clients) - clients):
             if not self._evict():
                 break
@@ -532,7 +541,7 @@
 
     __slots__ = (
         "__weakref__", "_abort", "_agent", "_answered_last", "_blank_bytes", "_deadline", "_discarding",
-        "_had_request", "_idle_since", "_incoming", "_linger", "_listener", "_partial", "_pending",
+        "_had_request", "_idle_since", "_incoming", "_linger", "_listener", "_memory", "_partial", "_pending",
         "_task", "_unparsed", "_upload", "_writer", "waited_us", "wire",
     )  # fmt: skip
 
@@ -541,6 +550,7 @@
         self.waited_us = 0  # time that its first request spent in the accept queue
         self._listener = listener
         self._agent = listener.agent
+        self._memory = listener.memory
         self._pending: list[_PendingAnswer] = []  # at most MAX_PIPELINED
         self._incoming: _IncomingBody | None = None  # until the request is accepted, or its upload complete
         self._partial = False  # part of a request has arrived
@@ -560,6 +570,19 @@
         self._writer: asyncio.Task[None] | None = None
         self._linger: asyncio.TimerHandle | None = None
         wire.shortcut = self._take_complete
+        wire.memory = self
+
+    def read_limit(self) -> int:
+        """Return how many bytes may be read now: little of a request for which there is no room."""
+        if self._upload is not None:
+            return self._memory.upload_read_limit()
+        if self._incoming is not None:
+            return self._incoming.share.read_limit()
+        return self._memory.request_read_limit(len(self._unparsed))
+
+    def hold(self, count: int) -> None:
+        """Account for bytes that are read and not yet parsed."""
+        self._memory.adjust(count)
 
     def start(self) -> None:
         """Start the task that reads requests."""
@@ -668,6 +691,7 @@
         if self._linger is not None:
             self._linger.cancel()
         self._drop_incoming()
+        self._set_unparsed(b"")
         for pending in self._pending:
             self._abandon(pending)
         self._pending.clear()
@@ -714,11 +738,11 @@
                     # pending.
                     parser = h11.Connection(h11.SERVER, MAX_HEAD_BYTES)
                     last = await self._read_with_h11(parser)
-                    self._unparsed = parser.trailing_data[0]
+                    self._set_unparsed(parser.trailing_data[0])
             except BadRequest as bad:
                 self._agent.events.add(Event.REFUSED, bad.reason)
                 self._drop_incoming()
-                self._unparsed = b""
+                self._set_unparsed(b"")
                 # What follows is discarded, so the answer says that it is the last one.
                 self._enqueue_text(parser, bad.status, str(bad), last=True)
                 last = True
@@ -726,8 +750,13 @@
             if last:
                 await self._discard()
 
+    def _set_unparsed(self, data: bytes) -> None:
+        self._memory.adjust(len(data) - len(self._unparsed))
+        self._unparsed = data
+
     def _take_unparsed(self) -> bytes:
-        data, self._unparsed = self._unparsed, b""
+        data = self._unparsed
+        self._set_unparsed(b"")
         return data
 
     async def _read_until_head(self) -> int:
@@ -735,7 +764,7 @@
 
         Empty lines before a request are skipped (RFC 9112, 2.2).
         """
-        self._unparsed = self._unparsed.lstrip(b"\r\n")
+        self._set_unparsed(self._unparsed.lstrip(b"\r\n"))
         searched = 0
         if self._unparsed:
             self._begin_request()
@@ -748,6 +777,8 @@
                 if self._unparsed[0] < 0x21 or length > MAX_HEAD_BYTES:
                     return 0
                 searched = max(0, length - 2)
+                if length > SMALL_BODY and not self._memory.has_request_room():
+                    raise BadRequest(503, "no room for so long a head", RejectReason.NO_ROOM)
             received = await self._receive()
             if not self._partial:
                 self._blank_bytes += len(received)
@@ -757,7 +788,7 @@
                     raise BadRequest(400, "no request came")
                 if received:
                     self._begin_request()
-            self._unparsed += received
+            self._set_unparsed(self._unparsed + received)
             received = b""
 
     async def _read_plain(self, head: RequestHead, at: int) -> bool:
@@ -765,24 +796,23 @@
 
         Returns whether it is the last one of its connection.
         """
-        if len(self._pending) >= MAX_PIPELINED:
-            raise BadRequest(429, "too many requests at once on one connection")
+        self._check_pipelining()
         call = None if path_of(head) == READY_PATH else parse_call(head, self._agent)
         if head.length > MAX_STREAMED_BODY or (call is None and head.length > MAX_BUFFERED_BODY):
             raise BadRequest(413, "the body is too long")
         incoming = self._begin_body(call, head.length)
-        self._unparsed = self._unparsed[at:]
+        self._set_unparsed(self._unparsed[at:])
         incoming.add(self._split_unparsed(head.length))
         while len(incoming.data) < min(head.length, MAX_BUFFERED_BODY):
             await self._wait_for_room(incoming, call)
-            self._unparsed = await self._receive_body(incoming)
+            self._set_unparsed(await self._receive_body(incoming))
             incoming.add(self._split_unparsed(head.length - len(incoming.data)))
             self._note_progress(incoming, len(incoming.data))
         streamed_length = head.length if len(incoming.data) < head.length else -1
         upload = self._take(None, call, incoming.share, head.last, streamed_length)
         while upload is not None and upload.received < head.length:
             await self._wait_for_upload(incoming, upload)
-            self._unparsed = await self._receive_body(incoming)
+            self._set_unparsed(await self._receive_body(incoming))
             upload.feed(self._split_unparsed(head.length - upload.received))
             self._note_progress(incoming, upload.received)
         self._finish_upload()
@@ -791,13 +821,21 @@
     def _split_unparsed(self, length: int) -> bytes:
         """Take up to so many bytes off the front of what is not yet parsed."""
         data = self._unparsed[:length]
-        self._unparsed = self._unparsed[length:]
+        self._set_unparsed(self._unparsed[length:])
         return data
 
+    def _check_pipelining(self) -> None:
+        """Raise BadRequest if no request may wait behind those that are pending on this connection."""
+        if len(self._pending) >= MAX_PIPELINED:
+            raise BadRequest(429, "too many requests at once on one connection")
+        if self._pending and not self._memory.has_request_room():
+            raise BadRequest(503, "no room for a request behind requests that wait", RejectReason.NO_ROOM)
+
     def _begin_body(self, call: Call | None, length: int | None) -> _IncomingBody:
         """Begin to read a body into the call; that of a readiness check (None) is read and dropped."""
         data = bytearray() if call is None else call.payload.body
-        incoming = _IncomingBody(self._listener.memory.share(), data, UnreadTime(length), time.monotonic())
+        unread = UnreadTime(length)
+        incoming = _IncomingBody(self._memory.share(), data, unread, time.monotonic(), length)
         self._incoming = incoming
         return incoming
 
@@ -827,13 +865,13 @@
             limit_s = min(limit_s, left_s)
         try:
             async with asyncio.timeout(max(0.0, limit_s)):
-                await share.wait_for_room()
+                await share.wait_for_room(incoming.missing())
         except TimeoutError:
             raise BadRequest(503, "no room for the body in time", RejectReason.NO_ROOM) from None
         finally:
             now = time.monotonic()
             unread.resume(now)
-            self._count_wait(WaitReason.ROOM, now - began, self._listener.memory.describe())
+            self._count_wait(WaitReason.ROOM, now - began, self._memory.describe())
 
     async def _receive_body(self, incoming: _IncomingBody) -> bytes:
         """Return the next bytes of a body."""
@@ -943,10 +981,12 @@
             return False
         if self._agent.has_open(call.client_id):
             return False
+        if self._pending and not self._memory.has_request_room():
+            return False
         self._listener.received(self)
         self._begin_request()
         call.payload.body += data[found.end() :]
-        share = self._listener.memory.share()
+        share = self._memory.share()
         share.add(head.length)
         # This runs in a callback of the event loop, where the exception must not escape. The end of stream is
         # still unread, and closes the connection next.
@@ -962,8 +1002,7 @@
         try:
             head = await self._read_head(parser)
             check_framing(head)
-            if len(self._pending) >= MAX_PIPELINED:
-                raise BadRequest(429, "too many requests at once on one connection")
+            self._check_pipelining()
             call = None if path_of(head) == READY_PATH else parse_call(head, self._agent)
             lengths = [int(value) for name, value in head.headers if name == b"content-length"]
             if any(length > (MAX_STREAMED_BODY if call else MAX_BUFFERED_BODY) for length in lengths):
@@ -1061,7 +1100,7 @@
             call.client_gone = self.wire.hung_up
             if length != -1:
                 assert incoming is not None
-                call.upload = self._upload = Upload(call.payload.body, length, incoming.unread)
+                call.upload = self._upload = Upload(call.payload.body, length, incoming.unread, share)
                 call.payload.body = incoming.data = bytearray()
                 self._incoming = incoming
                 self._partial = True  # until the rest has arrived
@@ -1069,6 +1108,8 @@
             call.budget_us -= waited_us
             if incoming is not None and call.upload is None:
                 call.budget_us -= int(incoming.unread.seconds(time.monotonic()) * 1e6)
+            if self._pending:
+                share.add(PIPELINED_REQUEST_BYTES)
             held = self._agent.submit(call)
             self._enqueue(_PendingAnswer(parser, held.answer, share, held, last))
         return self._upload
@@ -1156,12 +1197,12 @@
             self._listener.became_active(self)
         self._pending.append(pending)
         if pending.held is not None:
-            pending.held.on_answered = self._flush
             self._listener.in_flight += 1
-            if self._upload is not None:
-                pending.held.on_answered = partial(self._answered_early, self._upload)
-                if pending.held.answer.done():  # no attempt will read the body, and the client would wait
-                    self._upload.discard()
+            if pending.held.answer.done():
+                # Of a streamed body no attempt will read the rest, and the client would wait.
+                self._answered(pending, self._upload)
+                return
+            pending.held.on_answered = partial(self._answered, pending, self._upload)
         self._flush()
 
     def _enqueue_text(
@@ -1172,11 +1213,31 @@
         answer.set_result(Answer(status, headers, text.encode("latin-1", "replace") + b"\n"))
         self._enqueue(_PendingAnswer(parser, answer, last=status not in (200, 503) if last is None else last))
 
-    def _answered_early(self, upload: Upload) -> None:
-        """Discard the unread rest of a body whose answer is already known."""
-        upload.discard()
+    def _answered(self, pending: _PendingAnswer, upload: Upload | None) -> None:
+        """Send the answer once its turn comes, and free the request: no further attempt needs it.
+
+        The unread rest of a streamed body is discarded.
+        """
+        if upload is not None:
+            upload.discard()
+        if pending.share is not None:
+            pending.share.release()
+            pending.share = None
+        if pending.held is not None:
+            pending.held.call.payload.body.clear()
+        if self._writer is not None or not self._pending or self._pending[0] is not pending:
+            answer = pending.answer.result()
+            if isinstance(answer, Answer):
+                self._hold_answer(pending, len(answer.body))
         self._flush()
 
+    def _hold_answer(self, pending: _PendingAnswer, count: int) -> None:
+        """Account for an answer that cannot be sent at once. A streamed one accounts for itself."""
+        if pending.share is not None:
+            pending.share.release()
+        pending.share = share = self._memory.answer_share()
+        share.hold(count)
+
     def _flush(self) -> None:
         """Write the answers that are ready, in order, as far as the kernel takes them at once.
 
@@ -1194,6 +1255,7 @@
                     return
                 sent = self.wire.send_now(data)
                 if sent < len(data):
+                    self._hold_answer(self._pending[0], len(data))
                     self._writer = asyncio.create_task(self._write_rest(memoryview(data)[sent:], last))
                     return
                 if self._answer_sent(last):
@@ -1279,10 +1341,6 @@
         stream is None.
         """
         answer = _to_answer(pending.answer.result())
-        if pending.share is not None:
-            pending.share.release()
-        pending.share = self._listener.memory.share()
-        pending.share.add(len(answer.body) if answer.stream is None else MAX_BUFFERED_BODY)
         # While draining or shutting down, an answer announces the close only if no input follows its request:
         # a request that has arrived but is not yet parsed would be discarded after such an answer.
         close = pending.last or (
@@ -1293,13 +1351,14 @@
         )
         headers = _answer_headers(answer, close, pending.parser is None)
         stream = answer.stream
+        body, answer.body = answer.body, b""
         if pending.parser is None:
             start = b"HTTP/1.1 %d \r\n" % answer.status
-            return frame_message(start, headers, answer.body), close, stream
+            return frame_message(start, headers, body), close, stream
         if stream is not None:
             response = h11.Response(status_code=answer.status, headers=headers)
             return frame_events(pending.parser, response), close, stream
-        whole = _encode_with_h11(pending.parser, answer, headers)
+        whole = _encode_with_h11(pending.parser, answer.status, headers, body)
         return whole, pending.parser.our_state is not h11.DONE, None
 
 
@@ -1312,9 +1371,9 @@
     return Answer(500, [], b"failed\n")
 
 
-def _encode_with_h11(parser: h11.Connection, answer: Answer, headers: Headers) -> bytes:
-    response = h11.Response(status_code=answer.status, headers=headers)
-    return frame_events(parser, response, h11.Data(data=bytes(answer.body)), h11.EndOfMessage())
+def _encode_with_h11(parser: h11.Connection, status: int, headers: Headers, body: bytes | bytearray) -> bytes:
+    response = h11.Response(status_code=status, headers=headers)
+    return frame_events(parser, response, h11.Data(data=bytes(body)), h11.EndOfMessage())
 
 
 def _answer_headers(answer: Answer, close: bool, plain: bool) -> Headers:
--- a/sorrelfront/messages.py
+++ b/sorrelfront/messages.py
@@ -48,8 +48,8 @@
     def begin(self) -> bool:
         """Start to read from the beginning. Returns False if the beginning is no longer available."""
 
-    def on_stop(self, callback: Callable[[], None]) -> None:
-        """Have the callback called once nothing more of the body may be sent."""
+    def on_stop(self, callback: Callable[[], None] | None) -> None:
+        """Have the callback called once nothing more of the body may be sent; None ends that."""
 
     async def read(self) -> bytes:
         """Return the next piece, empty at the end. Raises ConnectionError if the body is truncated."""
--- a/sorrelfront/net/bodies.py
+++ b/sorrelfront/net/bodies.py
@@ -5,7 +5,8 @@
 prefix, another attempt can start over. After that no attempt can, whatever the decisions ask for.
 
 Each body buffers at most one chunk beyond its prefix, and its client is not read meanwhile: backpressure from
-the server reaches the client (RFC 9293, 3.8.6).
+the server reaches the client (RFC 9293, 3.8.6). The share that holds the prefix holds each chunk too, from
+its arrival until it is written.
 """
 
 from __future__ import annotations
@@ -14,6 +15,8 @@
 import time
 from collections.abc import Callable
 
+from sorrelfront.net.budget import MemoryShare
+
 # The most of a body that may lie between a client's last write and this process: what the client's kernel
 # keeps to send (Linux, the default maximum of tcp_wmem), and the receive buffer here, doubled by the kernel.
 MAX_UNSEEN_BYTES = 4 * 1024 * 1024 + 2 * 131_072
@@ -83,20 +86,25 @@
 class Upload:
     """One streamed request body, with one producer and one consumer at a time."""
 
-    def __init__(self, prefix: bytes | bytearray, length: int | None, unread: UnreadTime) -> None:
+    def __init__(
+        self, prefix: bytes | bytearray, length: int | None, unread: UnreadTime, share: MemoryShare
+    ) -> None:
         """Start with the bytes received so far.
 
         Args:
             prefix: The bytes received so far.
             length: The length of the whole body in bytes; None if it is not known in advance.
             unread: For how long the request may have lain unread; the producer goes on with it.
+            share: Holds the prefix already.
         """
         self.length = length
         self.unread = unread
         self.received = len(prefix)
         self.completed_at: float | None = None  # when the last byte arrived, on the monotonic clock
         self._prefix = bytes(prefix)
+        self._share = share
         self._chunk = b""  # waits to be read
+        self._taken = 0  # bytes of the chunk that the consumer has read, and not yet passed on
         self._started = False  # the consumer has read the prefix
         self._consumed = False  # something past the prefix has been read
         self._discarded = False
@@ -121,6 +129,7 @@
         self.received += len(data)
         if not self._discarded:
             self._chunk += data
+            self._share.add(len(data))
             self._changed.set()
 
     def end(self) -> None:
@@ -136,14 +145,19 @@
     def expire(self) -> None:
         """Fail the consumer, also if the body is complete: the time of its client is over."""
         self._aborted = True
+        self._drop()
         self._stop()
 
     def discard(self) -> None:
         """Drop what is buffered and whatever still arrives: nobody will read it."""
         self._discarded = True
-        self._chunk = self._prefix = b""
+        self._drop()
         self._stop()
 
+    def _drop(self) -> None:
+        self._share.add(-len(self._chunk) - len(self._prefix))
+        self._chunk = self._prefix = b""
+
     def _stop(self) -> None:
         self._changed.set()
         if self._on_stop is not None:
@@ -156,25 +170,32 @@
         self._started = False
         return not (self._consumed or self._discarded or self._aborted)
 
-    def on_stop(self, callback: Callable[[], None]) -> None:
+    def on_stop(self, callback: Callable[[], None] | None) -> None:
         """Have the callback called once nothing more may be sent: the consumer may not wait in `read`."""
         self._on_stop = callback
 
     async def read(self) -> bytes:
         """Return the next chunk, empty at the end. Raises BodyAborted if the rest will not arrive."""
-        if not self._started:
+        self._share.add(-self._taken)
+        self._taken = 0
+        if not (self._started or self._aborted or self._discarded):
             self._started = True
             return self._prefix
         while True:
             if self._aborted or self._discarded:
                 raise BodyAborted("the rest of the request body will not arrive")
             if self._chunk:
-                self._consumed = True
-                self._prefix = b""
-                chunk, self._chunk = self._chunk, b""
-                self._changed.set()
-                return chunk
+                return self._take_chunk()
             if self.completed_at is not None:
                 return b""
             self._changed.clear()
             await self._changed.wait()
+
+    def _take_chunk(self) -> bytes:
+        self._consumed = True
+        self._share.add(-len(self._prefix))
+        self._prefix = b""
+        chunk, self._chunk = self._chunk, b""
+        self._taken = len(chunk)
+        self._changed.set()
+        return chunk
--- a/sorrelfront/net/budget.py
+++ b/sorrelfront/net/budget.py
@@ -1,4 +1,4 @@
-"""Limits on the resources that the agent holds: descriptors, and bytes of buffered bodies."""
+"""Limits on the resources that the agent holds: descriptors, and bytes held for clients and servers."""
 
 from __future__ import annotations
 
@@ -15,11 +15,19 @@
 # A client that has sent nothing for this long in the middle of its body may have to make room for others; a
 # lost packet is sent again after 0.2 s.
 MIN_STALL_S = 0.25
-BASE_MEMORY = 28 * 1024 * 1024  # the interpreter, connections, small bodies and answers in flight
-BODY_MEMORY_SHARE = 0.4  # of the rest; the allocator rounds up, a growing body is copied, heads take some too
-MIN_BODY_MEMORY = (
-    32 * MAX_BUFFERED_BODY
-)  # 2 MB: below the least memory of an agent, and enough to make progress
+RECEIVE_BYTES = 65_536  # per read: a few reads per megabyte, and the most that a stream buffers
+MIN_READ_BYTES = 1_024  # of a body past SMALL_BODY that found the room taken when its bytes came
+USABLE_MEMORY_SHARE = 0.9  # of the limit, beyond which the process is killed
+PROCESS_BYTES = 17 * 1024 * 1024  # the interpreter, the program and its list of servers
+SOCKET_BYTES = 4 * 1024  # objects of a connection and its request, and SMALL_BODY
+BUDGET_SHARE = 0.7  # of the rest; the allocator rounds up, and growing bodies are copied
+MIN_BUDGET = 32 * MAX_BUFFERED_BODY  # 2 MiB: enough to make progress
+# Parts of the budget. What one kind may not take is left to the others, whoever is slow: requests still get
+# in while clients do not read their answers, and answers still come while bodies wait.
+MAX_REQUEST_SHARE = 0.75
+MAX_ANSWER_SHARE = 0.5
+MAX_STREAM_SHARE = 0.25  # of answers, up to which a streamed one is read in pieces of RECEIVE_BYTES
+PIPELINED_REQUEST_BYTES = 8 * 1024  # objects of a request behind another one on its connection
 
 
 class Descriptors:
@@ -30,6 +38,7 @@
     """
 
     def __init__(self, sockets: int) -> None:
+        self.sockets = sockets
         usable = max(8, sockets - RESERVED_DESCRIPTORS)
         self.clients = int(usable * CLIENT_SHARE)
         self.backends = usable - self.clients
@@ -39,7 +48,11 @@
 
 
 class MemoryBudget:
-    """Limit on the bytes of buffered bodies. A connection that gets no share stops reading its client.
+    """Limit on the bytes that the process holds for clients and servers.
+
+    Requests are held from the read that brings them to their answers. One whose connection gets no share
+    waits, unread. Answers do not wait, or requests would never end: without room they are read, and passed
+    on, in pieces of SMALL_BODY.
 
     Many long bodies that each wait for memory would deadlock. So the size of one body is reserved for the
     oldest one that still grows, and a complete one ends by its deadline and releases its bytes. Clients that
@@ -47,38 +60,78 @@
     room, those that have sent nothing for the longest time are ended.
     """
 
-    def __init__(self, memory_bytes: int) -> None:
-        self.held = 0
-        # Longer than SMALL_BODY and incomplete, with bytes to be read: waiting for room or just given some;
-        # oldest first
+    def __init__(self, memory_bytes: int, sockets: int, process_bytes: int | None = None) -> None:
+        """Start with the limits of the process: its memory in bytes, and its descriptors.
+
+        `process_bytes` is what the process takes for itself now, if that is known.
+        """
+        self.requests_held = 0
+        self.answers_held = 0
+        self._process_bytes = max(PROCESS_BYTES, process_bytes or 0)
+        # Longer than SMALL_BODY and incomplete, with bytes to be read, and waiting for room; oldest first
         self._growing: dict[MemoryShare, None] = {}
         self._stalled: dict[MemoryShare, float] = {}  # whose clients have sent nothing more, and since when
         self._freed = asyncio.Event()
         self._stall_check: asyncio.TimerHandle | None = None  # while bodies wait for room
-        self.resize(memory_bytes)
+        self.resize(memory_bytes, sockets)
 
-    def resize(self, memory_bytes: int) -> None:
-        """Apply a new limit. Bytes held above a lower one are released as their requests end."""
-        self.max_bytes = max(MIN_BODY_MEMORY, int((memory_bytes - BASE_MEMORY) * BODY_MEMORY_SHARE))
+    def resize(self, memory_bytes: int, sockets: int) -> None:
+        """Apply new limits. Bytes held above a lower one are released as their requests end."""
+        spare = memory_bytes * USABLE_MEMORY_SHARE - self._process_bytes - sockets * SOCKET_BYTES
+        self.max_bytes = max(MIN_BUDGET, int(spare * BUDGET_SHARE))
         self._freed.set()
 
+    @property
+    def held(self) -> int:
+        """Bytes held now, of requests and answers."""
+        return self.requests_held + self.answers_held
+
     def describe(self) -> str:
         """Return for the log what is held, of how much, and by how many incomplete bodies of which kind."""
         return f"{self.held} of {self.max_bytes} B, {len(self._growing)} grow, {len(self._stalled)} stalled"
 
     def share(self) -> MemoryShare:
-        """Return an empty share for one message."""
+        """Return an empty share for one request."""
         return MemoryShare(self)
 
-    def fits(self, share: MemoryShare) -> bool:
-        """Return whether this growing body may grow now."""
-        reserved = 0 if next(iter(self._growing)) is share else MAX_BUFFERED_BODY
-        return self.held + reserved < self.max_bytes
-
-    async def wait_for_room(self, share: MemoryShare) -> None:
-        """Wait until this body may grow, or is released. Ends stalled bodies if there is no room else."""
+    def answer_share(self) -> AnswerShare:
+        """Return an empty share for one answer."""
+        return AnswerShare(self)
+
+    def has_request_room(self, reserved: int = MAX_BUFFERED_BODY) -> bool:
+        """Return whether requests may grow while this many bytes are kept free."""
+        return (
+            self.requests_held + reserved < self.max_bytes * MAX_REQUEST_SHARE
+            and self.held + reserved < self.max_bytes
+        )
+
+    def has_answer_room(self, share: float) -> bool:
+        """Return whether an answer may grow while answers hold up to this share of the budget."""
+        return (
+            self.answers_held + RECEIVE_BYTES < self.max_bytes * share
+            and self.held + RECEIVE_BYTES < self.max_bytes
+        )
+
+    def request_read_limit(self, held: int) -> int:
+        """Return how much of a request that holds `held` bytes may be read now, at least MIN_READ_BYTES."""
+        return RECEIVE_BYTES if self.has_request_room() else max(SMALL_BODY - held, MIN_READ_BYTES)
+
+    def upload_read_limit(self) -> int:
+        """Return how much of a streamed request body may be read now."""
+        return RECEIVE_BYTES if self.has_request_room(2 * MAX_BUFFERED_BODY) else SMALL_BODY
+
+    def fits(self, share: MemoryShare, wanted: int) -> bool:
+        """Return whether this growing body may grow by `wanted` bytes now."""
+        oldest = next(iter(self._growing)) is share
+        return self.has_request_room(0 if oldest else wanted + MAX_BUFFERED_BODY)
+
+    async def wait_for_room(self, share: MemoryShare, wanted: int) -> None:
+        """Wait until this body may grow by `wanted` bytes, or is released.
+
+        Ends stalled bodies if there is no room else.
+        """
         self._growing.setdefault(share)
-        while share in self._growing and not self.fits(share):
+        while share in self._growing and not self.fits(share, wanted):
             if self._end_stalled():
                 continue
             if self._stall_check is None:
@@ -108,8 +161,14 @@
         self._stalled[share] = time.monotonic()
 
     def adjust(self, by: int) -> None:
-        """Add `by` bytes, which may be negative, to what is held."""
-        self.held += by
+        """Add `by` bytes, which may be negative, to what requests hold."""
+        self.requests_held += by
+        if by < 0:
+            self._freed.set()
+
+    def adjust_answers(self, by: int) -> None:
+        """Add `by` bytes, which may be negative, to what answers hold."""
+        self.answers_held += by
         if by < 0:
             self._freed.set()
 
@@ -122,13 +181,15 @@
 
 
 class MemoryShare:
-    """The part of the budget that one message holds."""
+    """The part of the budget that one request holds."""
 
-    __slots__ = ("_budget", "_on_end", "held")
+    __slots__ = ("_budget", "_on_end", "_released", "_reserved", "held")
 
     def __init__(self, budget: MemoryBudget) -> None:
         self._budget = budget
         self._on_end: Callable[[], bool] | None = None
+        self._released = False
+        self._reserved = 0  # bytes that may be added without a further wait
         self.held = 0
 
     def stall(self, on_end: Callable[[], bool]) -> None:
@@ -150,26 +211,74 @@
         """End a stalled body, and return whether it was ended."""
         return self._on_end is not None and self._on_end()
 
-    async def wait_for_room(self) -> None:
-        """Wait until more may be read. A small body never waits."""
+    async def wait_for_room(self, wanted: int) -> None:
+        """Wait until `wanted` bytes more may be read, and reserve them. A small body never waits.
+
+        Without the reservation, all bodies that wait would be given the same room, and one that comes in
+        pieces would wait again for each.
+        """
         if self.held >= SMALL_BODY:
-            await self._budget.wait_for_room(self)
+            await self._budget.wait_for_room(self, wanted)
+            if not self._released:
+                self._budget.adjust(wanted - self._reserved)
+                self._reserved = wanted
+                self._budget.stop_growing(self)
+
+    def read_limit(self) -> int:
+        """Return how many bytes may be read now, at least MIN_READ_BYTES."""
+        return max(self._reserved, self._budget.request_read_limit(self.held))
 
     def has_room(self) -> bool:
         """Return whether `wait_for_room` returns at once, whichever body is the oldest."""
-        return self.held < SMALL_BODY or self._budget.held + MAX_BUFFERED_BODY < self._budget.max_bytes
+        return self.held < SMALL_BODY or self._reserved > 0 or self._budget.has_request_room()
 
     def add(self, count: int) -> None:
-        """Account for `count` more buffered bytes."""
+        """Account for `count` more buffered bytes, fewer if negative. No effect once released."""
+        if self._released:
+            return
         self.held += count
-        self._budget.adjust(count)
+        reserved = min(max(count, 0), self._reserved)
+        self._reserved -= reserved
+        self._budget.adjust(count - reserved)
 
     def complete(self) -> None:
         """Mark the body as fully received: it keeps its bytes but no longer grows."""
         self.resume()
+        self._budget.adjust(-self._reserved)
+        self._reserved = 0
 
     def release(self) -> None:
         """Return all bytes to the budget. A second call has no effect."""
         self.resume()
-        self._budget.adjust(-self.held)
+        self._released = True
+        self._budget.adjust(-self.held - self._reserved)
+        self.held = self._reserved = 0
+
+
+class AnswerShare:
+    """The part of the budget that one answer holds, and the request while its server is slow to take it."""
+
+    __slots__ = ("_budget", "held", "streamed")
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        self._budget = budget
         self.held = 0
+        self.streamed = False  # whether it is passed on in pieces
+
+    def has_room(self) -> bool:
+        """Return whether the answer may grow by a whole read."""
+        return self._budget.has_answer_room(MAX_STREAM_SHARE if self.streamed else MAX_ANSWER_SHARE)
+
+    def read_limit(self) -> int:
+        """Return how many bytes may be read now."""
+        return RECEIVE_BYTES if self.has_room() else SMALL_BODY
+
+    def hold(self, count: int) -> None:
+        """Account for `count` more bytes, fewer if negative."""
+        count = max(count, -self.held)
+        self.held += count
+        self._budget.adjust_answers(count)
+
+    def release(self) -> None:
+        """Return all bytes to the budget."""
+        self.hold(-self.held)
--- a/sorrelfront/net/http.py
+++ b/sorrelfront/net/http.py
@@ -14,13 +14,14 @@
 import struct
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import h11
 
 from sorrelfront.messages import Headers
+from sorrelfront.net.budget import RECEIVE_BYTES
 from sorrelfront.net.heads import MAX_HEAD_BYTES as MAX_HEAD_BYTES
 
-RECEIVE_BYTES = 65_536  # per read: a few reads per megabyte, and the most that a stream buffers
 SEND_BYTES = 65_536  # per write, so that a stall within a long body is noticed
 # Chunks parsed before the event loop runs other tasks. One read may hold ten thousand chunks of one byte.
 MAX_CHUNKS_PER_TURN = 64
@@ -34,6 +35,18 @@
 )  # fmt: skip
 
 
+class InputMemory(Protocol):
+    """Limits what a connection reads, and counts what it has read."""
+
+    def read_limit(self) -> int:
+        """Return how many bytes may be read now, at least one."""
+        ...
+
+    def hold(self, count: int) -> None:
+        """Account for `count` more bytes, fewer if negative."""
+        ...
+
+
 class Wire:
     """A connected non-blocking socket.
 
@@ -44,7 +57,7 @@
 
     __slots__ = (
         "_fd", "_loop", "_on_data", "_on_idle_event", "_reader_added", "_received", "_waiter", "closed",
-        "shortcut", "sock",
+        "memory", "shortcut", "sock",
     )  # fmt: skip
 
     def __init__(self, sock: socket.socket) -> None:
@@ -53,6 +66,7 @@
         # Called with the received bytes before the waiting caller is woken. True if they are consumed: the
         # caller then keeps waiting, and no iteration of the event loop is spent on waking it.
         self.shortcut: Callable[[bytes], bool] | None = None
+        self.memory: InputMemory | None = None  # None: reads of RECEIVE_BYTES, which are not counted
         self._fd = sock.fileno()  # as a number: given the socket object, the loop would format its repr
         self._loop = asyncio.get_running_loop()
         self._received: bytes | OSError | None = None  # read from the kernel, not yet returned
@@ -107,11 +121,14 @@
         """
         if self._received is None:
             try:
-                return self.sock.recv(RECEIVE_BYTES)
+                return self._read()
             except (BlockingIOError, InterruptedError):
                 return b""
         return self._take_received()
 
+    def _read(self) -> bytes:
+        return self.sock.recv(RECEIVE_BYTES if self.memory is None else self.memory.read_limit())
+
     def watch_idle(self, on_event: Callable[[], None]) -> None:
         """Watch an idle connection: `on_event` is called, once, when the peer sends something or closes."""
         self._on_idle_event = on_event
@@ -134,7 +151,7 @@
     def _deliver(self, on_data: Callable[[bytes | OSError], None]) -> None:
         data: bytes | OSError
         try:
-            data = self.sock.recv(RECEIVE_BYTES)
+            data = self._read()
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
@@ -148,6 +165,8 @@
         if isinstance(received, OSError):
             raise received
         assert received is not None
+        if self.memory is not None:
+            self.memory.hold(-len(received))
         return received
 
     def _watch(self) -> None:
@@ -173,7 +192,7 @@
                 on_event()
             return
         try:
-            data = self.sock.recv(RECEIVE_BYTES)
+            data = self._read()
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
@@ -182,6 +201,8 @@
             if data and self.shortcut is not None and self.shortcut(data):
                 return
             self._received = data
+            if self.memory is not None:
+                self.memory.hold(len(data))
         if not self._received or isinstance(self._received, OSError):
             self._unwatch()  # end of stream stays readable
         waiter.set_result(None)
@@ -246,6 +267,9 @@
         self._unwatch()
         self._loop.remove_writer(self._fd)
         self._on_idle_event = self.shortcut = self._on_data = None
+        if self.memory is not None and isinstance(self._received, bytes):
+            self.memory.hold(-len(self._received))
+        self.memory = None
         with contextlib.suppress(OSError):
             if abort:
                 self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/sorrelfront/platform/__main__.py
+++ b/sorrelfront/platform/__main__.py
@@ -17,7 +17,8 @@
 from sorrelfront.agent_config import Config
 from sorrelfront.log_limits import RateLimit
 from sorrelfront.messages import Address
-from sorrelfront.net.budget import Descriptors
+from sorrelfront.net.budget import Descriptors, MemoryBudget
+from sorrelfront.net.process_memory import anonymous_bytes
 from sorrelfront.net.transient import retry_transient
 from sorrelfront.platform.config import BadConfig, load
 from sorrelfront.platform.control import ControlPort
@@ -79,7 +80,8 @@
     folder = shared_folder(os.environ)
     predecessor = find_predecessor(folder, config.listen)
     descriptors = Descriptors(config.sockets)
-    upstream = Upstream(descriptors.backends, config.idle_us, config.settings.connect_timeout_us)
+    memory = MemoryBudget(config.memory_bytes, config.sockets, anonymous_bytes())
+    upstream = Upstream(descriptors.backends, config.idle_us, config.settings.connect_timeout_us, memory)
     agent = Agent(config, upstream, watch)
     stop_requested = asyncio.Event()
     on_signal(signal.SIGTERM, stop_requested.set)
--- a/sorrelfront/platform/service.py
+++ b/sorrelfront/platform/service.py
@@ -10,7 +10,7 @@
 from sorrelfront.agent import Agent
 from sorrelfront.agent_config import Config
 from sorrelfront.fronts.http1 import Listener
-from sorrelfront.net.budget import RESERVED_DESCRIPTORS, Descriptors, MemoryBudget
+from sorrelfront.net.budget import RESERVED_DESCRIPTORS, Descriptors
 from sorrelfront.net.process_memory import anonymous_bytes
 from sorrelfront.net.transient import retry_transient
 from sorrelfront.platform.overrides_file import POLL_INTERVAL_S, OverridesFile
@@ -62,11 +62,10 @@
             give_up_at = time.monotonic() + LIST_TIMEOUT_S
             while not self._agent.list_received and time.monotonic() < give_up_at:
                 await asyncio.sleep(LIST_POLL_S)
-        memory = self._config.memory_bytes if self._predecessor is None else self._config.memory_bytes // 2
         descriptors = self._descriptors()
         where = address if self._predecessor is None else self._predecessor.listening
         self.listener = await retry_transient(
-            lambda: Listener(self._agent, where, descriptors, MemoryBudget(memory))
+            lambda: Listener(self._agent, where, descriptors, self._upstream.memory)
         )
         if self._folder is not None:
             try:
@@ -122,9 +121,8 @@
         values["concurrent"] = 0 if self.listener is None else self.listener.in_flight
         values["targets"] = agent.targets
         values["targets_disabled"] = agent.targets_excluded
-        if self.listener is not None:
-            values["memory_held"] = self.listener.memory.held
-            values["memory_budget"] = self.listener.memory.max_bytes
+        values["memory_held"] = self._upstream.memory.held
+        values["memory_budget"] = self._upstream.memory.max_bytes
         anonymous = anonymous_bytes()
         if anonymous is not None:
             values["memory_anonymous"] = anonymous
@@ -156,8 +154,10 @@
         config, descriptors = self._config, self._descriptors()
         alone = self._predecessor is None and not (self._successor is not None and self._successor.connected)
         self._upstream.resize(descriptors.backends, config.idle_us, config.settings.connect_timeout_us)
+        memory_bytes = config.memory_bytes if alone else config.memory_bytes // 2
+        self._upstream.memory.resize(memory_bytes, descriptors.sockets)
         if self.listener is not None:
-            self.listener.resize(descriptors, config.memory_bytes if alone else config.memory_bytes // 2)
+            self.listener.resize(descriptors)
 
     def _descriptors(self) -> Descriptors:
         sockets = self._config.sockets
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -24,7 +24,14 @@
 from sorrelfront.events import Event, EventCounter
 from sorrelfront.messages import Address, Answer, AttemptResult, Call, Upload
 from sorrelfront.net.bodies import BodyAborted
-from sorrelfront.net.budget import MAX_BUFFERED_BODY, MAX_STREAMED_BODY, Descriptors
+from sorrelfront.net.budget import (
+    MAX_BUFFERED_BODY,
+    MAX_STREAMED_BODY,
+    SMALL_BODY,
+    AnswerShare,
+    Descriptors,
+    MemoryBudget,
+)
 from sorrelfront.net.heads import HEAD_END, MAX_HEAD_BYTES, AnswerHead, answer_head, frame_message
 from sorrelfront.net.http import (
     MAX_CHUNKS_PER_TURN,
@@ -83,7 +90,8 @@
 class Upstream:
     """Connection pool to the backends: counts open connections and watches idle ones for a close."""
 
-    def __init__(self, descriptors: int, idle_us: int, connect_timeout_us: int) -> None:
+    def __init__(self, descriptors: int, idle_us: int, connect_timeout_us: int, memory: MemoryBudget) -> None:
+        self.memory = memory
         self.resize(descriptors, idle_us, connect_timeout_us)
         self._idle: dict[Address, deque[tuple[float, Wire]]] = {}  # per address, longest idle first
         self.open_connections = 0
@@ -112,9 +120,14 @@
         exchange = _Exchange(self, call, address, timeout_us, may_send)
         # The timeout of a request with a streamed body starts at the body's last byte.
         limit_s = max(0, timeout_us) / 1e6 if call.upload is None else None
-        if call.upload is not None:
-            call.upload.on_stop(exchange.stop)
-        return await self.run_with_timeout(limit_s, exchange, exchange.run)
+        if call.upload is None:
+            return await self.run_with_timeout(limit_s, exchange, exchange.run)
+        call.upload.on_stop(exchange.stop)
+        try:
+            return await self.run_with_timeout(limit_s, exchange, exchange.run)
+        finally:
+            # Otherwise call and exchange form a reference cycle, which keeps what is buffered of the body.
+            call.upload.on_stop(None)
 
     def begin(
         self,
@@ -311,6 +324,7 @@
         # callers, until the answer has come.
         self.unwritten = b""
         self._stopped = False  # the last byte may not be sent any more
+        self.share = upstream.memory.answer_share()  # what the connection holds
         # The answer, if it was received but not read at the timeout
         self.unread_result: AttemptResult | None = None
         self.time_limit: asyncio.Timeout | None = None  # of the whole attempt
@@ -450,6 +464,15 @@
         the delay costs more than it saves. The drawback is that a close at that moment costs a retry.
         """
         last = data if without_delay else data[-1:]
+        self.share.hold(len(data))
+        try:
+            await self._write(wire, data, last, reused, without_delay, begun)
+        finally:
+            self.share.hold(-len(data))
+
+    async def _write(
+        self, wire: Wire, data: bytes, last: bytes, reused: bool, without_delay: bool, begun: int
+    ) -> None:
         with contextlib.suppress(OSError):  # the reader gets the error too, after any answer before it
             if not without_delay:
                 await wire.send(memoryview(data)[begun:-1])
@@ -521,11 +544,14 @@
 
     def keep(self, wire: Wire) -> None:
         """Return the connection to the pool."""
+        self.share.release()
+        wire.memory = None
         self._upstream.release(self._address, wire)
 
     def drop(self, wire: Wire) -> None:
         """Close the connection."""
         self._upstream.drop(wire)
+        self.share.release()
 
 
 class _Writer:
@@ -772,8 +798,9 @@
         length: int | None,
         parser: h11.Connection | None,
         body: bytes,
+        share: AnswerShare,
     ) -> None:
-        """Continue an answer whose first bytes are in `body`.
+        """Continue an answer whose first bytes are in `body`, and are held by `share`.
 
         `parser` is the h11 parser of the answer, or None for a plain answer, whose `length` is known.
         """
@@ -782,6 +809,8 @@
         # would keep the bodies of both until the garbage collector comes.
         self._reader: _AnswerReader | None = reader
         self._wire = wire
+        self._share = share
+        share.streamed = True
         self._parser = parser
         self._body = body
         self._remaining = length  # bytes still to come; None if the length was not declared
@@ -837,18 +866,25 @@
         assert self._remaining is not None
         if self._remaining == 0:
             return self._finish(not self._excess)
-        data = await self._wire.receive(self._pause_limit_s())
+        data = await self._receive()
         if not data:
             raise BodyAborted("the answer is truncated")
         self._excess = len(data) > self._remaining
         return data[: self._remaining]
 
+    async def _receive(self) -> bytes:
+        """Read from the server. What was read before has been passed on by now."""
+        self._share.release()
+        data = await self._wire.receive(self._pause_limit_s())
+        self._share.hold(len(data))
+        return data
+
     async def _read_next_h11(self, parser: h11.Connection) -> bytes:
         while True:
             try:
                 event = parser.next_event()
                 if event is h11.NEED_DATA:
-                    parser.receive_data(await self._wire.receive(self._pause_limit_s()))
+                    parser.receive_data(await self._receive())
                     continue
             except h11.RemoteProtocolError as fault:
                 raise BodyAborted(str(fault)) from None
@@ -867,7 +903,8 @@
     """Reads one answer.
 
     An answer of up to MAX_BUFFERED_BODY bytes is passed on only when complete, so the request can still be
-    retried after a truncated or malformed one. A longer answer is streamed from its first bytes.
+    retried after a truncated or malformed one. A longer answer is streamed from its first bytes, and so is
+    one of more than SMALL_BODY bytes for which there is no memory.
     """
 
     def __init__(
@@ -884,6 +921,7 @@
         self._body_start = 0  # offset of the body in the data
         self._h11: h11.Connection | None = None  # parses an answer that is not plain
         self.wire = wire
+        self._share = wire.memory = exchange.share
         self._writer = writer
         self.reused = reused
         self._started = False  # part of the answer was received
@@ -948,6 +986,7 @@
             self._started = True
             self._first_byte_at = time.monotonic()
         self.eof = not data
+        self._share.hold(len(data))
         if self._h11 is not None:
             self._h11.receive_data(data)
         else:
@@ -1000,17 +1039,23 @@
         if received < head.length:
             if self.eof:
                 raise InvalidAnswer("the answer is truncated")
+            if received and self._lacks_room(head.length):
+                return self._start_stream(head, received)
             return None
         self._finish(received == head.length and not head.last)
         body = self._data[self._body_start : self._body_start + head.length]
         return AttemptResult(Outcome.OK, Answer(200, end_to_end(head.headers), body))
 
+    def _lacks_room(self, length: int) -> bool:
+        """Return whether an answer of at least so many bytes cannot be buffered whole."""
+        return length > SMALL_BODY and not self._share.has_room()
+
     def _start_stream(self, head: AnswerHead, received: int) -> AttemptResult:
         """Begin to stream a long plain answer whose first bytes were received."""
         body = bytes(self._data[self._body_start : self._body_start + head.length])
         self._data = bytearray()
         self._close_after = head.last or received > head.length
-        download = _Download(self, self.wire, head.length, None, body)
+        download = _Download(self, self.wire, head.length, None, body, self._share)
         return AttemptResult(Outcome.OK, Answer(200, end_to_end(head.headers), b"", download))
 
     def pause_limit_s(self) -> float:
@@ -1040,9 +1085,11 @@
                     self._on_informational(parser, event)
             elif isinstance(event, h11.Data):
                 self._body += event.data
-                if len(self._body) > MAX_BUFFERED_BODY or (self._length or 0) > MAX_BUFFERED_BODY:
+                if max(len(self._body), self._length or 0) > MAX_BUFFERED_BODY or self._lacks_room(
+                    max(len(self._body), self._length or 0)
+                ):
                     body, self._body = bytes(self._body), bytearray()
-                    download = _Download(self, self.wire, self._length, parser, body)
+                    download = _Download(self, self.wire, self._length, parser, body, self._share)
                     return AttemptResult(
                         Outcome.OK, Answer(200, end_to_end(self._response.headers), b"", download)
                     )
--- a/tests/net/test_memory.py
+++ b/tests/net/test_memory.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
+import random
 import socket
 import tracemalloc
 from collections.abc import Iterator
 
 import pytest
 
+from sorrelfront.events import Event
+from sorrelfront.fronts.request_head import RejectReason
 from sorrelfront.lab.http1 import make_config, member
 from sorrelfront.messages import Call
+from sorrelfront.net.budget import MIN_BUDGET, MIN_READ_BYTES, SMALL_BODY, MemoryShare
 from sorrelfront.platform.config import parse
 from tests.loopback import (
     AgentHarness,
@@ -133,3 +138,205 @@
         await until(lambda: other.upstream.open_connections == 0)
         assert live_calls() == 0
         client.close()
+
+
+def fill(made: AgentHarness) -> MemoryShare:
+    """Return a share that holds all the memory."""
+    share = made.listener.memory.share()
+    share.add(made.listener.memory.max_bytes)
+    return share
+
+
+@async_test
+async def test_long_requests_are_not_read_before_there_is_room_for_them() -> None:
+    """Guards against a limit exceeded by the first read of each request, of up to 64 KiB."""
+    async with running_agent(await Backend(answer(b"served")).start()) as made:
+        memory, share = made.listener.memory, fill(made)
+        clients = [await made.client() for _ in range(8)]
+        for number, client in enumerate(clients):
+            client.send(request(f"r{number}", "book", bytes(60_000)))
+        await until(lambda: len(memory._growing) == len(clients))
+        assert memory.held - share.held <= len(clients) * (SMALL_BODY + MIN_READ_BYTES)
+        small = await made.client()
+        small.send(request("small", "book", bytes(3_000)))
+        assert (await small.answer())[0] == 200
+        share.release()
+        assert [(await client.answer())[0] for client in clients] == [200] * len(clients)
+        await until(lambda: memory.held == 0)
+
+
+@async_test
+async def test_answers_that_wait_for_an_earlier_one_are_counted() -> None:
+    """Guards against a limit exceeded by answers to pipelined requests, 16 of 64 KiB a connection."""
+    first = asyncio.Event()
+
+    async def script(whole: bytes, writer: asyncio.StreamWriter) -> None:
+        if b"r0" in whole:
+            await first.wait()
+        writer.write(answer(bytes(50_000)))
+
+    async with running_agent(await Backend(script).start()) as made:
+        client = await made.client()
+        client.send(b"".join(request(f"r{number}") for number in range(4)))
+        await until(lambda: made.listener.memory.answers_held == 3 * 50_000)
+        first.set()
+        for _ in range(4):
+            assert len((await client.answer())[2]) == 50_000
+        await until(lambda: made.listener.memory.held == 0)
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+@async_test
+async def test_an_answer_without_room_is_passed_on_as_it_comes(chunked: bool) -> None:
+    """Guards against a limit exceeded by answers of up to 64 KiB that are buffered whole."""
+    rest = asyncio.Event()
+    whole = answer(bytes(30_000))
+    if chunked:
+        whole = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7530\r\n%b\r\n0\r\n\r\n" % bytes(
+            30_000
+        )
+
+    async def script(_: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(whole[:15_000])
+        await rest.wait()
+        writer.write(whole[15_000:])
+
+    async with running_agent(await Backend(script).start()) as made:
+        share, client = fill(made), await made.client()
+        client.send(request("r"))
+        await client.head()
+        await client.reader.readexactly(10_000)
+        assert made.listener.memory.answers_held <= 2 * SMALL_BODY
+        rest.set()
+        await client.reader.readexactly(20_000)
+        share.release()
+        await until(lambda: made.listener.memory.held == 0)
+
+
+@async_test
+async def test_a_short_answer_is_retried_though_there_is_no_room() -> None:
+    """Guards against short answers that can no longer be retried if memory is short."""
+    attempts = 0
+
+    async def script(_: bytes, writer: asyncio.StreamWriter) -> None:
+        nonlocal attempts
+        attempts += 1
+        whole = answer(bytes(3_000))
+        writer.write(whole[:1_000] if attempts == 1 else whole)
+        if attempts == 1:
+            writer.close()
+
+    backends = [await Backend(script).start() for _ in range(2)]
+    async with running_agent(*backends) as made:
+        fill(made)
+        client = await made.client()
+        client.send(request("r"))
+        assert (await client.answer())[0] == 200 and attempts == 2
+
+
+@async_test
+async def test_a_request_behind_another_is_refused_without_room() -> None:
+    """Guards against a limit exceeded by pipelined requests, none of which is long."""
+    gate = asyncio.Event()
+
+    async def script(_: bytes, writer: asyncio.StreamWriter) -> None:
+        await gate.wait()
+        writer.write(answer(b"served"))
+
+    backend = await Backend(script).start()
+    async with running_agent(backend) as made:
+        client = await made.client()
+        client.send(request("r0"))
+        await until(lambda: made.listener.in_flight == 1)
+        fill(made)
+        client.send(request("r1"))
+        await until(lambda: made.agent.events.count(Event.REFUSED, RejectReason.NO_ROOM) == 1)
+        gate.set()
+        assert (await client.answer())[0] == 200
+        status, head, _ = await client.answer()
+        assert status == 503 and b"connection: close" in head.lower()
+        assert len(backend.received) == 1
+
+
+@async_test
+async def test_a_lowered_limit_holds_for_what_comes_next() -> None:
+    """Guards against a reload that lowers the limit while more than that is held."""
+    gate = asyncio.Event()
+
+    async def script(whole: bytes, writer: asyncio.StreamWriter) -> None:
+        if len(whole) > 50_000:
+            await gate.wait()
+        writer.write(answer(b"served"))
+
+    async with running_agent(await Backend(script).start()) as made:
+        memory = made.listener.memory
+        clients = [await made.client() for _ in range(40)]
+        for number, client in enumerate(clients):
+            client.send(request(f"r{number}", "book", bytes(60_000)))
+        await until(lambda: memory.requests_held == 40 * 60_000)
+        memory.resize(1 << 20, 256)
+        assert memory.max_bytes == MIN_BUDGET < memory.held
+        late = await made.client()
+        late.send(request("late", "book", bytes(40_000)))
+        await until(lambda: len(memory._growing) == 1)
+        assert memory.held <= 40 * 60_000 + SMALL_BODY + MIN_READ_BYTES
+        gate.set()
+        for client in [*clients, late]:
+            assert (await client.answer())[0] == 200
+        await until(lambda: memory.held == 0)
+
+
+async def misbehave(made: AgentHarness, number: int, draw: random.Random) -> None:
+    """Send a request of a random kind, and leave at a random moment or stay for the answer."""
+    client = await made.client()
+    body = bytes(draw.choice([0, 2_000, 60_000, 150_000]))
+    data = request(f"r{number}", draw.choice(["book", "pay"]), body, "900m")
+    if draw.random() < 0.3:
+        length = b"Content-Length: %d" % len(body)
+        data = data.replace(length, b"Transfer-Encoding: chunked").removesuffix(body)
+        data += b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body) if body else b"0\r\n\r\n"
+    if draw.random() < 0.2:
+        data += request(f"p{number}")
+    end = len(data) if draw.random() < 0.6 else draw.randrange(len(data))
+    client.send(data[: end // 2])
+    await asyncio.sleep(draw.random() * 0.02)
+    client.send(data[end // 2 : end])
+    if draw.random() < 0.5:
+        await asyncio.sleep(draw.random() * 0.3)
+        client.writer.transport.abort()
+        return
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+        async with asyncio.timeout(1.5):
+            await client.wait_closed()
+    client.close()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("short", [False, True])
+def test_all_memory_is_freed_whatever_ends_a_request(seed: int, short: bool) -> None:
+    """Guards against bytes that stay counted after their request, which would use up the budget."""
+
+    async def scenario() -> None:
+        draw = random.Random(seed)
+
+        async def script(_: bytes, writer: asyncio.StreamWriter) -> None:
+            whole = answer(
+                bytes(draw.choice([10, 30_000, 200_000])), draw.choice(["200 OK", "200 OK", "503 No"])
+            )
+            first = draw.randrange(len(whole)) if draw.random() < 0.5 else len(whole)
+            writer.write(whole[:first])
+            await asyncio.sleep(draw.random() * 0.05)
+            if draw.random() < 0.2:
+                writer.transport.abort()
+            writer.write(whole[first:])
+
+        backends = [await Backend(script).start() for _ in range(3)]
+        async with running_agent(*backends) as made:
+            memory = made.listener.memory
+            if short:
+                memory.max_bytes = 100_000
+            await asyncio.gather(*(misbehave(made, number, draw) for number in range(60)))
+            await until(lambda: made.listener.connections == 0 and not made.agent.attempts)
+            assert (memory.requests_held, memory.answers_held) == (0, 0)
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/programs/test_memory_limit.py
@@ -0,0 +1,18 @@
+"""The program under the loads that took it over its memory limit."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from benchmarks.memory import PEAK_SHARE, measure
+from tests.test_process import ROOT
+
+
+@pytest.mark.parametrize("load", ["answers", "stalled", "pipelined"])
+def test_the_program_stays_under_its_memory_limit(load: str) -> None:
+    """Guards against an agent that is killed for its memory: 32 MB, and as many clients as may come."""
+    measured = asyncio.run(measure(str(ROOT), 32, 512, load, 3.0))
+    assert measured.share <= PEAK_SHARE, measured
+    assert measured.usual["200"] > 0, measured
