--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -2,12 +2,13 @@
 
     .venv/bin/python -m benchmarks.memory                              # every load at 32, 64 and 192 MB
     .venv/bin/python -m benchmarks.memory --limits 32:512 --loads stalled mixed --tree ../other --seconds 8
+    .venv/bin/python -m benchmarks.memory --limits 64:1024 --connections 480
 
 Clients and servers run in this process, the agent in its own. As many clients as a deployment guarantees, a
-third of the descriptors, make the load; USUAL_CLIENTS of them send usual requests, and what becomes of these
-is counted. Memory is anonymous resident memory, sampled every SAMPLE_S. The agent is not killed over its
-limit. Prints one JSON object a run; the exit code is 1 if a peak is over PEAK_SHARE of its limit, or a usual
-request had no answer in time.
+third of the descriptors, make the load, or as many as `--connections` says; USUAL_CLIENTS of them send usual
+requests, and what becomes of these is counted. Memory is anonymous resident memory, sampled every SAMPLE_S.
+The agent is not killed over its limit. Prints one JSON object a run; the exit code is 1 if a peak is over
+PEAK_SHARE of its limit, or a usual request had no answer in time.
 """
 
 from __future__ import annotations
@@ -17,15 +18,17 @@
 import contextlib
 import json
 import os
+import signal
 import socket
 import sys
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
+from benchmarks.request_cpu import cpu_us
 from sorrelfront.lab.http1 import make_config, member
 from tests.test_process import free_address
 
@@ -41,6 +44,10 @@
 SEGMENT_BYTES = 1_448  # as on an Ethernet; on the loopback interface the kernels buffer megabytes
 SMALL_BUFFER_BYTES = 8_192
 PIECE_BYTES = 16_384
+CHUNK = bytes(4_000)
+CHUNKS = 16  # of a body
+LONG_HEAD_BYTES = 15_000
+HALF_ANSWER_S = 0.25  # between the halves of an answer in chunks
 RETRY_S = 0.5  # after an answer other than 200
 
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
@@ -57,6 +64,12 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
+def chunked_request(name: str, body: bytes, **headers: object) -> bytes:
+    """Return a keyed request with an encoded body."""
+    head = request(name, b"", None, **headers).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    return head + body
+
+
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
     """Return the start line and the headers of a message."""
     first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
@@ -75,15 +88,29 @@
             await asyncio.sleep(pause_s)
 
 
+async def skip_body(reader: asyncio.StreamReader, headers: dict[str, str], pause_s: float) -> None:
+    """Read and drop the body of a message, with a pause after each piece."""
+    if "transfer-encoding" not in headers:
+        await skip(reader, int(headers.get("content-length", "0")), pause_s)
+        return
+    while size := int(await reader.readline(), 16):
+        await skip(reader, size + 2, pause_s)
+    await reader.readline()
+
+
+async def send_chunks(writer: asyncio.StreamWriter, count: int) -> None:
+    """Send an answer in so many chunks, in two halves."""
+    chunk = b"%x\r\n%b\r\n" % (len(CHUNK), CHUNK)
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk * (count // 2))
+    await asyncio.sleep(HALF_ANSWER_S)
+    writer.write(chunk * (count - count // 2) + b"0\r\n\r\n")
+    await writer.drain()
+
+
 async def skip_answer(reader: asyncio.StreamReader, pause_s: float = 0.0) -> int:
     """Read and drop an answer; return its status. Raises LastAnswer if the connection closes."""
     first, headers = await read_head(reader)
-    if "content-length" in headers:
-        await skip(reader, int(headers["content-length"]), pause_s)
-    else:
-        while size := int(await reader.readline(), 16):
-            await skip(reader, size + 2, pause_s)
-        await reader.readline()
+    await skip_body(reader, headers, pause_s)
     status = int(first.split(" ")[1])
     if "close" in headers.get("connection", ""):
         raise LastAnswer(status)
@@ -101,13 +128,16 @@
     """Answer requests one after another, as their X-Do headers say.
 
     `read`: seconds between pieces of the body; `wait`: seconds before the answer; `answer`: its length in
-    bytes; `halt`: seconds in the middle of it.
+    bytes; `halt`: seconds in the middle of it; `chunks`: how many chunks it has.
     """
     try:
         while True:
             _, headers = await read_head(reader)
-            await skip(reader, int(headers.get("content-length", "0")), float(headers.get("x-do-read", "0")))
+            await skip_body(reader, headers, float(headers.get("x-do-read", "0")))
             await asyncio.sleep(float(headers.get("x-do-wait", "0.01")))
+            if "x-do-chunks" in headers:
+                await send_chunks(writer, int(headers["x-do-chunks"]))
+                continue
             body = bytes(int(headers.get("x-do-answer", "100")))
             halt_s = float(headers.get("x-do-halt", "0"))
             first = len(body) // 2 if halt_s else len(body)
@@ -195,6 +225,11 @@
         """Send a body just short enough to be buffered whole."""
         await self.exchange(connection, request(self.name(), bytes(64_000), wait=0.6))
 
+    async def heap(self, connection: Connection) -> None:
+        """Send a body that the C library does not map on its own, and get such an answer in two halves."""
+        data = request(self.name(), bytes(15_000), wait=0.6, answer=15_000, halt=0.25)
+        await self.exchange(connection, data)
+
     async def stalled(self, connection: Connection) -> None:
         """Send most of a body, and stop."""
         await self.exchange(connection, request(self.name(), bytes(63_000), 64_000))
@@ -221,6 +256,21 @@
         """Send a long body to a server that reads it slowly."""
         await self.exchange(connection, request(self.name(), bytes(500_000), read=0.05))
 
+    async def chunked(self, connection: Connection) -> None:
+        """Send a body in chunks, and get an answer in chunks."""
+        body = b"".join(b"%x\r\n%b\r\n" % (len(CHUNK), CHUNK) for _ in range(CHUNKS)) + b"0\r\n\r\n"
+        await self.exchange(connection, chunked_request(self.name(), body, wait=0.6, chunks=CHUNKS))
+
+    async def trailers(self, connection: Connection) -> None:
+        """Send a body in chunks, and stop in the middle of a long trailer section."""
+        body = b"%x\r\n%b\r\n0\r\nX-Long: " % (len(CHUNK), CHUNK)
+        await self.exchange(connection, chunked_request(self.name(), body + b"t" * LONG_HEAD_BYTES))
+
+    async def heads(self, connection: Connection) -> None:
+        """Send most of a long head, and stop."""
+        data = request(self.name(), b"").removesuffix(b"\r\n") + b"X-Long: "
+        await self.exchange(connection, data + b"h" * LONG_HEAD_BYTES)
+
     async def unread(self, connection: Connection) -> None:
         """Send a body to a server that reads it too slowly."""
         await self.exchange(connection, request(self.name(), bytes(64_000), read=1.0))
@@ -258,7 +308,8 @@
 LOADS = {
     "none": (), "bodies": ("bodies",), "stalled": ("stalled",), "answers": ("answers",),
     "halves": ("halves",), "slow": ("slow",), "pipelined": ("pipelined",), "uploads": ("uploads",),
-    "unread": ("unread",), "mixed": ("stalled", "answers", "slow", "bodies"),
+    "chunked": ("chunked",), "trailers": ("trailers",), "heads": ("heads",),
+    "heap": ("heap",), "unread": ("unread",), "mixed": ("stalled", "answers", "slow", "bodies"),
 }  # fmt: skip
 SMALL_BUFFERS = ("slow",)
 
@@ -271,82 +322,147 @@
     raise RuntimeError("the kernel does not tell the memory of the agent")
 
 
-async def peak_under(load: Load, kinds: tuple[str, ...], clients: int, pid: int, seconds: float) -> int:
-    """Run the clients for so many seconds and return the agent's peak in kB."""
-    tasks = [asyncio.create_task(load.usual_client()) for _ in range(USUAL_CLIENTS)]
-    for at in range(clients - USUAL_CLIENTS if kinds else 0):
-        kind = kinds[at % len(kinds)]
-        tasks.append(asyncio.create_task(load.repeat(getattr(load, kind), kind in SMALL_BUFFERS)))
-        await asyncio.sleep(0.002)
-    peak_kb, until = 0, time.monotonic() + seconds
-    while time.monotonic() < until:
-        peak_kb = max(peak_kb, anonymous_kb(pid))
-        await asyncio.sleep(SAMPLE_S)
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-    return peak_kb
-
-
-@dataclass
-class Measured:
-    """One run: its limits, the peak, and how the requests ended, by status or in a word."""
+@dataclass(frozen=True)
+class Setup:
+    """What is measured."""
 
     memory_mb: int
     sockets: int
     load: str
+    seconds: float
+    tree: str = "."  # the source tree whose agent is measured
+    connections: int = 0  # of clients; 0: as many as a deployment guarantees
+    lowered_mb: int = 0  # the limit after a reload under the load; 0: no reload
+
+
+@dataclass(frozen=True)
+class Measured:
+    """One run: the peak, and how the requests ended, by status or in a word."""
+
+    setup: Setup
     peak_kb: int
-    share: float  # of the memory limit
-    usual: Counter[str]
-    others: Counter[str]
-
-
-async def measure(tree: str, memory_mb: int, sockets: int, name: str, seconds: float) -> Measured:
-    """Start the agent of a tree, put it under this load and return the figures."""
-    listening = [listening_socket() for _ in range(SERVERS)]
-    servers = [await asyncio.start_server(serve, sock=sock, limit=PIECE_BYTES * 2) for sock in listening]
-    members = [member(f"b{at}", "{}:{}".format(*sock.getsockname())) for at, sock in enumerate(listening)]
-    config = make_config("127.0.0.1:9", members)
-    config["limits"] = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
-    address = free_address()
-    with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "config.json"
-        path.write_text(json.dumps(config))
+    share: float  # of the memory limit, the lowered one if there is one
+    cpu_s: float  # of the agent
+    usual: dict[str, int]
+    others: dict[str, int]
+
+
+class MeasuredAgent:
+    """The agent's process, its servers and its configuration."""
+
+    def __init__(self, setup: Setup, folder: Path) -> None:
+        self.setup = setup
+        self.address = free_address()
+        self._folder = folder
+        self._config_file = folder / "config.json"
+
+    async def start(self) -> None:
+        """Start the servers, and the agent; return when it accepts clients."""
+        listening = [listening_socket() for _ in range(SERVERS)]
+        self._servers = [
+            await asyncio.start_server(serve, sock=sock, limit=PIECE_BYTES * 2) for sock in listening
+        ]
+        addresses = ["{}:{}".format(*sock.getsockname()) for sock in listening]
+        self._members = [member(f"b{at}", address) for at, address in enumerate(addresses)]
+        self._configure(self.setup.memory_mb)
         environ = {
-            **os.environ, "BALANCER_CONFIG": str(path), "BALANCER_DISCOVERY": "127.0.0.1:9",
-            "BALANCER_LISTEN": "{}:{}".format(*address), "TMPDIR": folder,
+            **os.environ, "BALANCER_CONFIG": str(self._config_file), "BALANCER_DISCOVERY": "127.0.0.1:9",
+            "BALANCER_LISTEN": "{}:{}".format(*self.address), "TMPDIR": str(self._folder),
         }  # fmt: skip
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "sorrelfront.platform", cwd=tree, env=environ,
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "sorrelfront.platform", cwd=self.setup.tree, env=environ,
             stderr=asyncio.subprocess.DEVNULL,
         )  # fmt: skip
+        while True:
+            with contextlib.suppress(OSError):
+                (await asyncio.open_connection(*self.address))[1].close()
+                return
+            await asyncio.sleep(0.02)
+
+    def _configure(self, memory_mb: int) -> None:
+        config = make_config("127.0.0.1:9", self._members)
+        config["limits"] = {"cores": 1.0, "memory_mb": memory_mb, "sockets": self.setup.sockets}
+        self._config_file.write_text(json.dumps(config))
+
+    def lower_limit(self) -> None:
+        """Reload with the lower limit."""
+        self._configure(self.setup.lowered_mb)
+        self._process.send_signal(signal.SIGHUP)
+
+    def cpu_s(self) -> float:
+        """Return the CPU time used so far."""
+        return round(cpu_us(self._process.pid) / 1e6, 2)
+
+    async def peak_kb(self, seconds: float) -> int:
+        """Return the highest anonymous memory in so many seconds from now."""
+        peak_kb, until = 0, time.monotonic() + seconds
+        while time.monotonic() < until:
+            peak_kb = max(peak_kb, anonymous_kb(self._process.pid))
+            await asyncio.sleep(SAMPLE_S)
+        return peak_kb
+
+    async def stop(self) -> None:
+        """End the agent and its servers."""
+        with contextlib.suppress(ProcessLookupError):
+            self._process.kill()
+        await self._process.wait()
+        for server in self._servers:
+            server.close()
+
+
+async def start_clients(load: Load, setup: Setup) -> list[asyncio.Task[None]]:
+    """Start the clients of a load, some of which send usual requests."""
+    kinds, connections = LOADS[setup.load], setup.connections or setup.sockets // 3
+    tasks = [asyncio.create_task(load.usual_client()) for _ in range(USUAL_CLIENTS)]
+    for at in range(connections - USUAL_CLIENTS if kinds else 0):
+        kind = kinds[at % len(kinds)]
+        tasks.append(asyncio.create_task(load.repeat(getattr(load, kind), kind in SMALL_BUFFERS)))
+        await asyncio.sleep(0.002)
+    return tasks
+
+
+async def measure(setup: Setup) -> Measured:
+    """Start the agent of a tree, put it under a load and return the figures.
+
+    With a lowered limit, the peak is that of `seconds` under the same load, once what came before the reload
+    has ended.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        agent = MeasuredAgent(setup, Path(folder))
+        await agent.start()
+        load = Load(agent.address)
         try:
-            load = Load(address)
-            while True:
-                with contextlib.suppress(OSError):
-                    (await load.open())[1].close()
-                    break
-                await asyncio.sleep(0.02)
-            peak_kb = await peak_under(load, LOADS[name], sockets // 3, process.pid, seconds)
+            tasks = await start_clients(load, setup)
+            peak_kb = await agent.peak_kb(setup.seconds)
+            if setup.lowered_mb:
+                agent.lower_limit()
+                await asyncio.sleep(USUAL_BUDGET_S + LATE_S)
+                peak_kb = await agent.peak_kb(setup.seconds)
+            cpu_s = agent.cpu_s()
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
         finally:
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
-            await process.wait()
-            for server in servers:
-                server.close()
-    share = round(peak_kb / memory_mb / 1_024, 3)
-    return Measured(memory_mb, sockets, name, peak_kb, share, load.usual, load.statuses)
+            await agent.stop()
+    share = round(peak_kb / (setup.lowered_mb or setup.memory_mb) / 1_024, 3)
+    return Measured(setup, peak_kb, share, cpu_s, dict(load.usual), dict(load.statuses))
+
+
+def setups(args: argparse.Namespace) -> Iterator[Setup]:
+    """Yield what the command line asks for."""
+    for limit in args.limits:
+        memory_mb, sockets = (int(item) for item in limit.split(":"))
+        for load in args.loads:
+            yield Setup(memory_mb, sockets, load, args.seconds, args.tree, args.connections, args.lowered_mb)
 
 
 async def run(args: argparse.Namespace) -> int:
     """Measure every load at every limit. Returns the exit code."""
     exceeded = False
-    for limit in args.limits:
-        memory_mb, sockets = (int(item) for item in limit.split(":"))
-        for name in args.loads:
-            result = await measure(args.tree, memory_mb, sockets, name, args.seconds)
-            print(json.dumps(asdict(result)), flush=True)
-            exceeded |= result.share > PEAK_SHARE or not result.usual.keys() <= {"200", "503"}
+    for setup in setups(args):
+        result = await measure(setup)
+        print(json.dumps(asdict(result)), flush=True)
+        exceeded |= result.share > PEAK_SHARE or not result.usual.keys() <= {"200", "503"}
     return int(exceeded)
 
 
@@ -357,6 +473,8 @@
     parser.add_argument("--loads", nargs="+", default=list(LOADS), choices=list(LOADS))
     parser.add_argument("--tree", default=".", help="the source tree whose agent is measured")
     parser.add_argument("--seconds", type=float, default=6.0)
+    parser.add_argument("--connections", type=int, default=0, help="of clients; a third of the descriptors")
+    parser.add_argument("--lowered-mb", type=int, default=0, help="the limit after a reload under the load")
     return asyncio.run(run(parser.parse_args()))
 
 
--- a/tests/programs/test_memory_limit.py
+++ b/tests/programs/test_memory_limit.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from benchmarks.memory import PEAK_SHARE, measure
+from benchmarks.memory import PEAK_SHARE, Setup, measure
 from tests.test_process import ROOT
 
 
 @pytest.mark.parametrize("load", ["answers", "stalled", "pipelined"])
 def test_the_program_stays_under_its_memory_limit(load: str) -> None:
     """Guards against an agent that is killed for its memory: 32 MB, and as many clients as may come."""
-    measured = asyncio.run(measure(str(ROOT), 32, 512, load, 3.0))
+    measured = asyncio.run(measure(Setup(32, 512, load, 3.0, str(ROOT))))
     assert measured.share <= PEAK_SHARE, measured
-    assert measured.usual["200"] > 0, measured
+    assert measured.usual.get("200", 0) > 0, measured
