Map long blocks one by one, so that freed bodies leave no gaps in the heap

What callers saw: an agent over its limit with bodies in chunks, or after a reload that lowers the limit: what earlier bodies had taken stayed with the process (64 MB lowered to 32 under bodies: 33,224 kB of 32,768, 2.5 s after the reload and later).

Cause: the allocator's gaps. Each read of a socket adds some: recv allocates 64 KiB and gives back what did not come.

Change: mallopt(M_MMAP_THRESHOLD, 16 KiB) in the program of one agent and in the daemon's instances, where the C library has it; reads go to one buffer and are copied, so that none maps 64 KiB.

Tests: test_a_limit_lowered_by_a_reload_is_kept; test_the_program_stays_under_its_memory_limit with chunked.

--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -43,7 +43,7 @@
 from sorrelfront.fronts.http1 import Listener
 from sorrelfront.messages import Address, Update
 from sorrelfront.net.budget import Descriptors, MemoryBudget
-from sorrelfront.net.process_memory import anonymous_bytes
+from sorrelfront.net.process_memory import anonymous_bytes, map_long_blocks
 from sorrelfront.platform.config import BadConfig, parse
 from sorrelfront.signals import ignore_until_exit, on_signal
 from sorrelfront.sources import registry
@@ -601,6 +601,7 @@
     logs.configure(sys.argv[5], sys.argv[6], instance=sys.argv[2], run=int(sys.argv[3]))
     gc.freeze()
     gc.set_threshold(5_000, 4, 2)
+    map_long_blocks()
     channel = socket.socket(fileno=int(sys.argv[1]))
     channel.setblocking(False)
     asyncio.run(run(channel, sys.argv[2], int(sys.argv[3]), Path(sys.argv[4])))
--- a/sorrelfront/net/http.py
+++ b/sorrelfront/net/http.py
@@ -34,6 +34,10 @@
      b"content-length", b"expect")
 )  # fmt: skip
 
+# Reads go here and are copied: `recv` allocates as much as may come, and most reads are short. All event
+# loops run in one thread, and nothing else runs between the read and the copy.
+_receive_buffer = memoryview(bytearray(RECEIVE_BYTES))
+
 
 class InputMemory(Protocol):
     """Limits what a connection reads, and counts what it has read."""
@@ -127,7 +131,9 @@
         return self._take_received()
 
     def _read(self) -> bytes:
-        return self.sock.recv(RECEIVE_BYTES if self.memory is None else self.memory.read_limit())
+        limit = RECEIVE_BYTES if self.memory is None else self.memory.read_limit()
+        count = self.sock.recv_into(_receive_buffer, limit)
+        return bytes(_receive_buffer[:count])
 
     def watch_idle(self, on_event: Callable[[], None]) -> None:
         """Watch an idle connection: `on_event` is called, once, when the peer sends something or closes."""
--- a/sorrelfront/platform/__main__.py
+++ b/sorrelfront/platform/__main__.py
@@ -18,7 +18,7 @@
 from sorrelfront.log_limits import RateLimit
 from sorrelfront.messages import Address
 from sorrelfront.net.budget import Descriptors, MemoryBudget
-from sorrelfront.net.process_memory import anonymous_bytes
+from sorrelfront.net.process_memory import anonymous_bytes, map_long_blocks
 from sorrelfront.net.transient import retry_transient
 from sorrelfront.platform.config import BadConfig, load
 from sorrelfront.platform.control import ControlPort
@@ -130,6 +130,7 @@
     # collections would stay as long.
     gc.freeze()
     gc.set_threshold(5_000, 4, 2)
+    map_long_blocks()
     try:
         config = load(os.environ)
         asyncio.run(serve(config))
