Keep no last read in the variables of loops that wait for the next one

What callers saw: nothing by itself; up to 64 KiB a connection that no budget counts, for each rejected request whose client goes on sending, and for each answer that comes in pieces.

Cause: `data` in the loops of _Client._discard and _AnswerReader.run keeps what was read last while the next read is awaited.

Evidence: at the peak of bodies at 32 MB and 1,024 descriptors the C library had mapped 7.4 MB for 3.5 MB held (mallinfo2, each body mapped on its own); after, 3.6 MB for 4.2 MB held. Looked through for more of the kind: every await of a read or of a piece in fronts, upstreams and net; none is left that grows with clients or servers. The control port (12 connections) and the sites' transports keep one message a connection.

--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -1184,8 +1184,10 @@
         """
         self.wire.shortcut = None  # or a request after the last one would be accepted
         left = MAX_DISCARD_BYTES
-        while left > 0 and (data := await self.wire.receive()):
-            left -= len(data)
+        count = 1
+        while left > 0 and count > 0:
+            count = len(await self.wire.receive())  # not in a variable, which would keep it while this waits
+            left -= count
         while left <= 0 and self._pending and await self.wire.receive():
             await asyncio.sleep(DISCARD_PAUSE_S)
         raise _Disconnected
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -944,15 +944,18 @@
             if paused:
                 await asyncio.sleep(0)
                 continue
-            try:
-                data = await self.wire.receive(STALL_S if self._started else None)
-            except TimeoutError:
-                # Otherwise an answer shorter than declared would hold the request until the deadline.
-                raise InvalidAnswer("timeout between two reads of the answer") from None
-            self.feed(data)
+            self.feed(await self._receive())  # not in a variable, which would keep it during the next read
         ended.answer_duration_us = int((time.monotonic() - self._first_byte_at) * 1e6)
         return ended
 
+    async def _receive(self) -> bytes:
+        """Read from the server. Raises InvalidAnswer if it pauses for too long."""
+        try:
+            return await self.wire.receive(STALL_S if self._started else None)
+        except TimeoutError:
+            # Otherwise an answer shorter than declared would hold the request until the deadline.
+            raise InvalidAnswer("timeout between two reads of the answer") from None
+
     def close(self) -> None:
         """Stop the writer and close the connection."""
         if self._writer is not None:
--- a/tests/net/test_memory.py
+++ b/tests/net/test_memory.py
@@ -13,6 +13,7 @@
 import pytest
 
 from sorrelfront.events import Event
+from sorrelfront.fronts import http1 as front
 from sorrelfront.fronts.request_head import RejectReason
 from sorrelfront.lab.http1 import make_config, member
 from sorrelfront.messages import Call
@@ -99,6 +100,53 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.usefixtures("traced")
+def test_half_an_answer_is_in_memory_once() -> None:
+    """Guards against a second copy of an answer's last read, kept while the next one is awaited."""
+
+    async def scenario() -> None:
+        count, whole, rest = 20, answer(bytes(60_000)), asyncio.Event()
+
+        async def script(_: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(whole[:30_000])
+            await rest.wait()
+            writer.write(whole[30_000:])
+
+        async with running_agent(await Backend(script).start()) as made:
+            clients = [await made.client() for _ in range(count)]
+            before = tracemalloc.get_traced_memory()[0]
+            for number, client in enumerate(clients):
+                client.send(request(f"r{number}"))
+            await until(lambda: made.listener.memory.answers_held == count * 30_000)
+            assert tracemalloc.get_traced_memory()[0] - before < 1.5 * made.listener.memory.held
+            rest.set()
+            assert [(await client.answer())[0] for client in clients] == [200] * count
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.usefixtures("traced")
+def test_what_is_discarded_is_not_in_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against the last read of each rejected request, kept until its connection closes."""
+    monkeypatch.setattr(front, "LINGER_S", 60.0)
+
+    async def scenario() -> None:
+        count = 20
+        async with running_agent(await Backend(answer(b"served")).start()) as made:
+            clients = [await made.client() for _ in range(count)]
+            for client in clients:
+                client.send(b"POST /book HTTP/1.1\r\nContent-Length: x\r\n\r\n")
+                assert (await client.answer())[0] == 400
+            before = tracemalloc.get_traced_memory()[0]
+            for client in clients:
+                client.send(bytes(60_000))
+                await client.writer.drain()
+            await until(lambda: all(item.wire.nothing_unread() for item in made.listener._clients))
+            assert tracemalloc.get_traced_memory()[0] - before < count * SMALL_BODY
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.usefixtures("no_collector")
 @pytest.mark.parametrize("reply", [answer(LONG), CHUNKED], ids=["length", "chunked"])
 def test_a_request_with_a_long_answer_is_freed_when_it_is_answered(reply: bytes) -> None:
