Free a partner's request when its client leaves, not at the next collection

What callers saw: nothing by itself; each request that a partner site gives up on stayed in memory, with its body, after the budget had its bytes back.

Cause: the front sets on_answered on the request, and it leads back there (request, callback, pending answer, request). The agent removes it when a request is abandoned; the gateway of a site, which serves the same front, does not. The front that sets it now removes it.

Test: test_a_request_of_a_partner_that_leaves_is_freed; before, the request was still in memory with nothing counted.

--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -718,6 +718,8 @@
             pending.share.release()
         if pending.held is not None:
             self._listener.in_flight -= 1
+            # Otherwise request, callback and pending answer would wait for the garbage collector.
+            pending.held.on_answered = None
             self._agent.abandon(pending.held)
         # A task that is cancelled before its first step, or while it writes, does not close its stream.
         if pending.answer.done() and not pending.answer.cancelled():
