Count what h11 keeps of a line that is not complete

What callers saw: nothing by itself; up to 16 KiB a connection that no budget counts, for trailer sections and chunk lines that stop half-way, from clients and from servers.

Cause: h11 keeps an incomplete line, or trailer section, in its own buffer. Requests were counted by the data of their events, streamed answers by the last read alone. The share of a request's body now includes what its parser keeps, so a client that stops there can be ended for others, as in a body; a streamed answer's share holds it until the next read.

Tests: test_an_incomplete_trailer_section_is_counted, buffered and streamed, and test_an_incomplete_chunk_line_of_a_long_answer_is_counted; all three failed before.

--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -168,12 +168,24 @@
     unread: UnreadTime
     began: float  # monotonic seconds, later by the time in which it could not arrive
     length: int | None  # of the whole body, None if it is not declared
+    unparsed: int = 0  # bytes that h11 keeps until the line is complete that they belong to
 
     def add(self, received: bytes | bytearray) -> None:
         """Buffer received bytes."""
         self.data += received
         self.share.add(len(received))
 
+    def note_unparsed(self, parser: h11.Connection) -> None:
+        """Account for what the parser keeps."""
+        count = len(parser.trailing_data[0])
+        self.share.add(count - self.unparsed)
+        self.unparsed = count
+
+    def parsed(self) -> None:
+        """Note that the parser keeps nothing more of this body."""
+        self.share.add(-self.unparsed)
+        self.unparsed = 0
+
     def missing(self) -> int:
         """Return how many bytes at most are still to be buffered."""
         length = MAX_BUFFERED_BODY if self.length is None else min(self.length, MAX_BUFFERED_BODY)
@@ -1037,6 +1049,7 @@
             while True:
                 event = parser.next_event()
                 if isinstance(event, h11.EndOfMessage):
+                    incoming.parsed()
                     self._finish_upload()
                     return
                 if isinstance(event, h11.Data):
@@ -1049,6 +1062,7 @@
                     if chunks % MAX_CHUNKS_PER_TURN == 0:
                         await asyncio.sleep(0)
                 elif event is h11.NEED_DATA:
+                    incoming.note_unparsed(parser)
                     parser.receive_data(await self._receive_body(incoming))
                 else:
                     break
@@ -1149,6 +1163,7 @@
         while True:
             event = parser.next_event()
             if isinstance(event, h11.EndOfMessage):
+                incoming.parsed()
                 return True
             if isinstance(event, h11.Data):
                 incoming.add(event.data)
@@ -1161,6 +1176,7 @@
                 if chunks % MAX_CHUNKS_PER_TURN == 0:
                     await asyncio.sleep(0)
             elif event is h11.NEED_DATA:
+                incoming.note_unparsed(parser)
                 await self._wait_for_room(incoming, call)
                 parser.receive_data(await self._receive_body(incoming))
             else:
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -873,8 +873,10 @@
         return data[: self._remaining]
 
     async def _receive(self) -> bytes:
-        """Read from the server. What was read before has been passed on by now."""
+        """Read from the server. What was read before has been passed on by now, but for what h11 keeps."""
         self._share.release()
+        if self._parser is not None:
+            self._share.hold(len(self._parser.trailing_data[0]))
         data = await self._wire.receive(self._pause_limit_s())
         self._share.hold(len(data))
         return data
--- a/tests/net/test_memory.py
+++ b/tests/net/test_memory.py
@@ -231,6 +231,54 @@
         await listener.close()
 
 
+@pytest.mark.parametrize("long", [False, True])
+@async_test
+async def test_an_incomplete_trailer_section_is_counted(long: bool) -> None:
+    """Guards against a limit exceeded by bytes that the parser of each connection keeps until a line ends."""
+    body, trailer = bytes(90_000 if long else 100), b"0\r\nX-Long: " + b"t" * 15_000
+    sent = asyncio.Event()
+
+    async def script(_: bytes, writer: asyncio.StreamWriter) -> None:
+        await sent.wait()
+        writer.write(answer(b"served"))
+
+    async with running_agent(await Backend(script).start()) as made:
+        memory, client = made.listener.memory, await made.client()
+        whole = request("r", "book", body).replace(
+            b"Content-Length: %d" % len(body), b"Transfer-Encoding: chunked"
+        )
+        head = whole[: len(whole) - len(body)]
+        client.send(head + b"%x\r\n%b\r\n" % (len(body), body) + trailer)
+        await until(lambda: memory.requests_held == len(trailer) - 3 + len(body))
+        client.send(b"\r\n\r\n")
+        await until(lambda: made.upstream.requests_written == 1)
+        sent.set()
+        assert (await client.answer())[0] == 200
+        await until(lambda: memory.held == 0)
+
+
+@async_test
+async def test_an_incomplete_chunk_line_of_a_long_answer_is_counted() -> None:
+    """Guards against a limit exceeded by bytes that the parser of each answer keeps until a line ends."""
+    rest = asyncio.Event()
+    line = b"%x;" % 5 + b"e" * 12_000
+
+    async def script(_: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(CHUNKED.removesuffix(b"0\r\n\r\n") + line)
+        await rest.wait()
+        writer.write(b"\r\nabcde\r\n0\r\n\r\n")
+
+    async with running_agent(await Backend(script).start()) as made:
+        client = await made.client()
+        client.send(request("r"))
+        await client.head()
+        await client.reader.readexactly(len(LONG))
+        await until(lambda: made.listener.memory.answers_held == len(line))
+        rest.set()
+        await client.reader.readuntil(b"abcde")
+        await until(lambda: made.listener.memory.held == 0)
+
+
 def fill(made: AgentHarness) -> MemoryShare:
     """Return a share that holds all the memory."""
     share = made.listener.memory.share()
