Test the memory of forwarded requests at each site; keep the port of a server that is down

A body of 30,000 bytes on its way from bole over hawassa to mekelle is in the budget of each instance, gateways included, and leaves it when its client leaves.

A site whose server is down took a port of the system's choice and gave it back; another test's server had it next. The port is now bound and not listened at: connects are refused as before, and nobody else gets it. No assertion is changed.

--- a/tests/programs/test_sites.py
+++ b/tests/programs/test_sites.py
@@ -11,6 +11,7 @@
 import json
 import os
 import signal
+import socket
 from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
@@ -42,15 +43,20 @@
         self.exchange, self.gateway = free_address(), free_address()
         self.listen = free_address()
         self.offer = ""
+        self._reserved: socket.socket | None = None  # of a server that is down
         self._read = 0
 
     async def start(self, others: list[Site], serves: bytes | None) -> None:
         """Start the site; `serves` is its server's answer, or None for a server that is down."""
         self.others = others
         self.server = Backend(answer(serves or b""))
-        await self.server.start()
         if serves is None:
-            self.server.stop()
+            # Bound and not listened at: a port that is given back could become that of another test's server.
+            self._reserved = socket.socket()
+            self._reserved.bind(("127.0.0.1", 0))
+            self.server.address = _host_port(self._reserved.getsockname())
+        else:
+            await self.server.start()
         self.fleet.servers = [("s", self.server.address)]
         self.write()
         await self.fleet.start()
@@ -101,6 +107,12 @@
             while wanted.items() - (await self.status())["requests"][way].items():
                 await asyncio.sleep(0.02)
 
+    async def wait_for_memory(self, least: int, most: int) -> None:
+        """Wait until the instance holds so many bytes for clients and servers."""
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while not least <= (await self.fleet.status())["i0"]["memory"]["held"] <= most:
+                await asyncio.sleep(0.02)
+
     async def send_request(self, name: str, cls: str = "look") -> tuple[int, bytes, bytes]:
         client = await connect(self.fleet.address)
         client.send(request(name, cls))
@@ -109,6 +121,12 @@
         finally:
             client.close()
 
+    def stop_server(self) -> None:
+        if self._reserved is not None:
+            self._reserved.close()
+        else:
+            self.server.stop()
+
     async def end(self) -> None:
         if self.fleet.process.returncode is None:
             self.fleet.signal(signal.SIGTERM)
@@ -142,7 +160,7 @@
     finally:
         for site in sites:
             await site.end()
-            site.server.stop()
+            site.stop_server()
 
 
 @async_test
@@ -179,6 +197,29 @@
         assert len(mekelle.server.received) == 8
 
 
+@async_test
+async def test_the_memory_of_a_forwarded_request_is_counted_at_each_site(tmp_path: Path) -> None:
+    """Guards against bodies between sites that no memory budget counts, or that outlive their client."""
+    silence = asyncio.Event()
+
+    async def silent(_: bytes, writer: asyncio.StreamWriter) -> None:
+        await silence.wait()
+
+    async with line_of_sites(tmp_path, {"mekelle": offer()}, {"mekelle": b""}) as sites:
+        bole, _, mekelle = sites
+        await bole.wait_for_paths(["hawassa", "mekelle"])
+        mekelle.server.script = silent
+        client = await connect(bole.fleet.address)
+        client.send(request("a", "book", bytes(30_000)))
+        await mekelle.server.arrived.wait()
+        for site in sites:
+            await site.wait_for_memory(30_000, 40_000)
+        client.close()
+        for site in sites:
+            await site.wait_for_memory(0, 0)
+        silence.set()
+
+
 @async_test
 async def test_a_gateway_enforces_a_withdrawal_that_a_partner_has_not_received(tmp_path: Path) -> None:
     """Guards against serving a request under a withdrawn offer. The partner's process is stopped during the
