Leave a connection alone once the exchange on it is over, so that the next answer is read

Cause: _FastExchange._report detached the exchange from its connection. An exchange whose answer comes in several reads ends in a task, and is reported in a callback of the next turn of the event loop. Its connection is idle by then; if another request takes it in between, the callback removed the other exchange's reader, and nothing read its answer before its time-out, which looks once more.

Ruled out: memory (nothing waited), the server (had the body after 8 ms), CPU (agent at 0.4 of a core), connects.

An exchange now detaches where it leaves its connection: when it goes on in a task, is answered in its callback, times out or is cancelled.

Test: test_an_exchange_that_ends_in_a_task_leaves_the_next_one_on_its_connection_alone; before, the second answer was not read.

--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -688,10 +688,12 @@
         if ended is None:
             self._continue_in_task()
         else:
+            self._detach()
             self._report(ended)
 
     def _on_timeout(self) -> None:
         late = self._reader.read_available()
+        self._detach()
         self._report(late or AttemptResult(Outcome.TIMEOUT if self._exchange.sent else Outcome.UNREACHABLE))
 
     def cancel(self) -> None:
@@ -710,14 +712,14 @@
             self._wire.on_receive(None)
 
     def _report(self, ended: AttemptResult) -> None:
+        """Report the end of the exchange, once. It is detached from its connection by now."""
         done, self._on_done = self._on_done, None
-        self._detach()
         if done is not None:
             done(ended)
 
     def _continue_in_task(self, new_connection: bool = False) -> None:
         """Continue in a task: write what is left, then read; or start on a new connection."""
-        self._detach()
+        self._detach()  # now and not at the end, when the connection may be in use by another exchange
         self._task = asyncio.create_task(self._run(new_connection))
         self._task.add_done_callback(self._on_task_done)
 
--- a/tests/net/test_quick.py
+++ b/tests/net/test_quick.py
@@ -11,7 +11,7 @@
 import pytest
 
 from sorrelfront.decisions.interface import Outcome
-from sorrelfront.messages import AttemptResult, Call
+from sorrelfront.messages import Address, AttemptResult, Call
 from sorrelfront.net.budget import MemoryBudget
 from sorrelfront.net.http import Payload, Wire
 from sorrelfront.upstreams import http1
@@ -121,3 +121,40 @@
         assert made.upstream.open_connections == 0
 
     asyncio.run(scenario())
+
+
+def test_an_exchange_that_ends_in_a_task_leaves_the_next_one_on_its_connection_alone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against answers that are only read as the time is over.
+
+    An answer in two parts is read in a task. Its connection is idle once the task has ended, and may be in
+    use again before the end of the exchange is reported.
+    """
+    monkeypatch.setattr(http1._FastExchange, "_on_timeout", lambda exchange: None)
+
+    async def scenario() -> None:
+        made = await IdleConnection().open()
+        release, second = made.upstream.release, asyncio.Event()
+
+        def begin_next(address: Address, wire: Wire) -> None:
+            release(address, wire)
+            made.upstream.release = release  # type: ignore[method-assign]
+            asyncio.get_running_loop().call_soon(made.begin, True)
+            second.set()
+
+        made.begin(repeatable=True)
+        made.upstream.release = begin_next  # type: ignore[method-assign]
+        made.server.setblocking(False)
+        made.server.send(OK[:-1])
+        await until(lambda: made.upstream.memory.answers_held == len(OK) - 1)
+        made.server.send(OK[-1:])
+        await second.wait()
+        await until(lambda: made.upstream.requests_written == 2)
+        made.server.send(OK)
+        await until(lambda: len(made.ended) == 2)
+        assert [result.outcome for result in made.ended] == [Outcome.OK, Outcome.OK]
+        del made.ended[1]
+        await made.outcome()
+
+    asyncio.run(scenario())
