Derive the memory budget for blocks that are mapped, and for more objects a connection

Cause: 0.7 of what is left was chosen for a heap with gaps of a third of what is held.

Change: 0.85 of (0.9 of the limit, less the process and 6 KiB a descriptor).

--- a/sorrelfront/net/budget.py
+++ b/sorrelfront/net/budget.py
@@ -19,8 +19,8 @@
 MIN_READ_BYTES = 1_024  # of a body past SMALL_BODY that found the room taken when its bytes came
 USABLE_MEMORY_SHARE = 0.9  # of the limit, beyond which the process is killed
 PROCESS_BYTES = 17 * 1024 * 1024  # the interpreter, the program and its list of servers
-SOCKET_BYTES = 4 * 1024  # objects of a connection and its request, and SMALL_BODY
-BUDGET_SHARE = 0.7  # of the rest; the allocator rounds up, and growing bodies are copied
+SOCKET_BYTES = 6 * 1024  # objects of a connection and its request, and SMALL_BODY
+BUDGET_SHARE = 0.85  # of the rest; blocks are rounded up to pages, and shorter ones leave gaps
 MIN_BUDGET = 32 * MAX_BUFFERED_BODY  # 2 MiB: enough to make progress
 # Parts of the budget. What one kind may not take is left to the others, whoever is slow: requests still get
 # in while clients do not read their answers, and answers still come while bodies wait.
