Spend less on the memory budget per request

By a profile: two limits of reads through three calls each, an asyncio.Event set at every release, copies of reads by bytes().

Change: limits are derived when the budget is set, waiting bodies are woken only if there are any, a read is copied by tobytes(), and what changes nothing is not called. No change of behaviour.

--- a/sorrelfront/net/budget.py
+++ b/sorrelfront/net/budget.py
@@ -81,6 +81,18 @@
         self.max_bytes = max(MIN_BUDGET, int(spare * BUDGET_SHARE))
         self._freed.set()
 
+    @property
+    def max_bytes(self) -> int:
+        """The most that requests and answers may hold, in bytes."""
+        return self._max_bytes
+
+    @max_bytes.setter
+    def max_bytes(self, value: int) -> None:
+        self._max_bytes = value
+        self._max_request_bytes = value * MAX_REQUEST_SHARE
+        self._max_answer_bytes = value * MAX_ANSWER_SHARE
+        self._max_stream_bytes = value * MAX_STREAM_SHARE
+
     @property
     def held(self) -> int:
         """Bytes held now, of requests and answers."""
@@ -100,17 +112,14 @@
 
     def has_request_room(self, reserved: int = MAX_BUFFERED_BODY) -> bool:
         """Return whether requests may grow while this many bytes are kept free."""
-        return (
-            self.requests_held + reserved < self.max_bytes * MAX_REQUEST_SHARE
-            and self.held + reserved < self.max_bytes
-        )
-
-    def has_answer_room(self, share: float) -> bool:
-        """Return whether an answer may grow while answers hold up to this share of the budget."""
-        return (
-            self.answers_held + RECEIVE_BYTES < self.max_bytes * share
-            and self.held + RECEIVE_BYTES < self.max_bytes
-        )
+        requests = self.requests_held + reserved
+        return requests < self._max_request_bytes and requests + self.answers_held < self._max_bytes
+
+    def has_answer_room(self, streamed: bool) -> bool:
+        """Return whether an answer may grow by a whole read; one that is streamed, in smaller pieces."""
+        answers = self.answers_held + RECEIVE_BYTES
+        limit = self._max_stream_bytes if streamed else self._max_answer_bytes
+        return answers < limit and answers + self.requests_held < self._max_bytes
 
     def request_read_limit(self, held: int) -> int:
         """Return how much of a request that holds `held` bytes may be read now, at least MIN_READ_BYTES."""
@@ -163,13 +172,13 @@
     def adjust(self, by: int) -> None:
         """Add `by` bytes, which may be negative, to what requests hold."""
         self.requests_held += by
-        if by < 0:
+        if by < 0 and self._growing:
             self._freed.set()
 
     def adjust_answers(self, by: int) -> None:
         """Add `by` bytes, which may be negative, to what answers hold."""
         self.answers_held += by
-        if by < 0:
+        if by < 0 and self._growing:
             self._freed.set()
 
     def stop_growing(self, share: MemoryShare) -> None:
@@ -244,11 +253,14 @@
     def complete(self) -> None:
         """Mark the body as fully received: it keeps its bytes but no longer grows."""
         self.resume()
-        self._budget.adjust(-self._reserved)
-        self._reserved = 0
+        if self._reserved:
+            self._budget.adjust(-self._reserved)
+            self._reserved = 0
 
     def release(self) -> None:
         """Return all bytes to the budget. A second call has no effect."""
+        if self._released:
+            return
         self.resume()
         self._released = True
         self._budget.adjust(-self.held - self._reserved)
@@ -267,15 +279,16 @@
 
     def has_room(self) -> bool:
         """Return whether the answer may grow by a whole read."""
-        return self._budget.has_answer_room(MAX_STREAM_SHARE if self.streamed else MAX_ANSWER_SHARE)
+        return self._budget.has_answer_room(self.streamed)
 
     def read_limit(self) -> int:
         """Return how many bytes may be read now."""
-        return RECEIVE_BYTES if self.has_room() else SMALL_BODY
+        return RECEIVE_BYTES if self._budget.has_answer_room(self.streamed) else SMALL_BODY
 
     def hold(self, count: int) -> None:
         """Account for `count` more bytes, fewer if negative."""
-        count = max(count, -self.held)
+        if count < -self.held:
+            count = -self.held
         self.held += count
         self._budget.adjust_answers(count)
 
--- a/sorrelfront/net/http.py
+++ b/sorrelfront/net/http.py
@@ -133,7 +133,7 @@
     def _read(self) -> bytes:
         limit = RECEIVE_BYTES if self.memory is None else self.memory.read_limit()
         count = self.sock.recv_into(_receive_buffer, limit)
-        return bytes(_receive_buffer[:count])
+        return _receive_buffer[:count].tobytes()
 
     def watch_idle(self, on_event: Callable[[], None]) -> None:
         """Watch an idle connection: `on_event` is called, once, when the peer sends something or closes."""
