Look at the limits of reads only where memory may be short

Reads are now compared with one figure, under which any read is allowed, and a share is taken off the lists of waiting and stalled bodies only if it was put there.

--- a/sorrelfront/net/budget.py
+++ b/sorrelfront/net/budget.py
@@ -92,6 +92,8 @@
         self._max_request_bytes = value * MAX_REQUEST_SHARE
         self._max_answer_bytes = value * MAX_ANSWER_SHARE
         self._max_stream_bytes = value * MAX_STREAM_SHARE
+        # With less held, any read may be one of RECEIVE_BYTES, and most need no look at the limits above.
+        self._ample_bytes = min(self._max_stream_bytes, self._max_request_bytes) - 2 * RECEIVE_BYTES
 
     @property
     def held(self) -> int:
@@ -123,8 +125,16 @@
 
     def request_read_limit(self, held: int) -> int:
         """Return how much of a request that holds `held` bytes may be read now, at least MIN_READ_BYTES."""
+        if self.requests_held + self.answers_held < self._ample_bytes:
+            return RECEIVE_BYTES
         return RECEIVE_BYTES if self.has_request_room() else max(SMALL_BODY - held, MIN_READ_BYTES)
 
+    def answer_read_limit(self, streamed: bool) -> int:
+        """Return how much of an answer may be read now."""
+        if self.requests_held + self.answers_held < self._ample_bytes:
+            return RECEIVE_BYTES
+        return RECEIVE_BYTES if self.has_answer_room(streamed) else SMALL_BODY
+
     def upload_read_limit(self) -> int:
         """Return how much of a streamed request body may be read now."""
         return RECEIVE_BYTES if self.has_request_room(2 * MAX_BUFFERED_BODY) else SMALL_BODY
@@ -192,11 +202,12 @@
 class MemoryShare:
     """The part of the budget that one request holds."""
 
-    __slots__ = ("_budget", "_on_end", "_released", "_reserved", "held")
+    __slots__ = ("_budget", "_noted", "_on_end", "_released", "_reserved", "held")
 
     def __init__(self, budget: MemoryBudget) -> None:
         self._budget = budget
         self._on_end: Callable[[], bool] | None = None
+        self._noted = False  # the budget may count it among the growing or the stalled ones
         self._released = False
         self._reserved = 0  # bytes that may be added without a further wait
         self.held = 0
@@ -209,12 +220,15 @@
         """
         if self.held:
             self._on_end = on_end
+            self._noted = True
             self._budget.stall(self)
 
     def resume(self) -> None:
         """Note that the client has sent something, or that nothing more is awaited."""
-        self._on_end = None
-        self._budget.stop_growing(self)
+        if self._noted:
+            self._noted = False
+            self._on_end = None
+            self._budget.stop_growing(self)
 
     def end_stalled(self) -> bool:
         """End a stalled body, and return whether it was ended."""
@@ -227,6 +241,7 @@
         pieces would wait again for each.
         """
         if self.held >= SMALL_BODY:
+            self._noted = True
             await self._budget.wait_for_room(self, wanted)
             if not self._released:
                 self._budget.adjust(wanted - self._reserved)
@@ -283,7 +298,7 @@
 
     def read_limit(self) -> int:
         """Return how many bytes may be read now."""
-        return RECEIVE_BYTES if self._budget.has_answer_room(self.streamed) else SMALL_BODY
+        return self._budget.answer_read_limit(self.streamed)
 
     def hold(self, count: int) -> None:
         """Account for `count` more bytes, fewer if negative."""
@@ -294,4 +309,6 @@
 
     def release(self) -> None:
         """Return all bytes to the budget."""
-        self.hold(-self.held)
+        if self.held:
+            self._budget.adjust_answers(-self.held)
+            self.held = 0
