Log and count why an answer was not passed on whole, and why a client was reset

'closed client-broken' stood for unsound input, a broken answer, a client that does not read and a body that does not come.

Now each such answer has a line with id, server, reason, bytes, the times of its first and last byte and what the client had left (20 lines in 10 s at most, as all), a count by reason in the line of counts, and two totals in /metrics and ctl status. Resets of clients have reasons of their own. No behaviour changes.

tests/upstreams/test_answer_faults.py: one case for each reason that a server can cause, and a client that leaves.

--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -47,6 +47,7 @@
 from sorrelfront.platform.config import BadConfig, parse
 from sorrelfront.signals import ignore_until_exit, on_signal
 from sorrelfront.sources import registry
+from sorrelfront.upstreams.answer_faults import AnswerLog
 from sorrelfront.upstreams.http1 import Upstream
 
 if TYPE_CHECKING:
@@ -110,6 +111,7 @@
         self._pending_estimates: object = None  # a snapshot to be adopted once the list is known
         self._closing_listeners: set[asyncio.Task[None]] = set()  # of listeners that a reload removed
         self._memory_budget: MemoryBudget | None = None
+        self._answers: AnswerLog | None = None
         self._zookeeper_source: EphemeralNodeSource | None = None  # the membership source, if it is ZooKeeper
         self._registry_source: registry.Discovery | None = None  # the same, if it is the registry
         self._update_agent: Callable[[Update], None] = lambda update: None  # delivers to the agent
@@ -310,6 +312,7 @@
             config.settings.connect_timeout_us,
             self._memory_budget,
         )
+        self._answers = upstream.answers
         self._table = table  # its `source` selects the membership source
         governed = table.get("fleet") is not None and table["fleet"]["voters"]
         if table.get("site") is not None:
@@ -518,6 +521,8 @@
                 "budget": self._memory_budget.max_bytes,
                 "anonymous": anonymous_bytes(),
             }
+        if self._answers is not None:
+            figures["answers"] = {"unfinished": self._answers.unfinished, "cut": self._answers.cut}
         if self._zookeeper_source is not None:
             figures |= self._zookeeper_source.status()
         if self._fleet_member is not None:
--- a/sorrelfront/events.py
+++ b/sorrelfront/events.py
@@ -20,6 +20,7 @@
     FAILED = "failed"
     RETRIED = "retried"
     ATTEMPT = "attempt"  # an attempt that ended without an answer to pass on
+    ANSWER = "answer"  # an answer that had begun and was not passed on whole
     CLOSED = "closed"
     WAITED = "waited"  # a client was not read for a noticeable time
 
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -87,7 +87,10 @@
     """Why a client connection was closed."""
 
     CLIENT = "client-closed"
-    BROKEN = "client-broken"  # what it sends can no longer be parsed, or its answer broke off
+    BROKEN = "client-broken"  # what it sends can no longer be parsed
+    ANSWER_BROKEN = "answer-broken"  # its answer broke off
+    NOT_READING = "client-not-reading"  # it did not take its answer for STALL_S
+    UPLOAD_LATE = "upload-late"  # the rest of its streamed body did not come in time
     IDLE = "idle-timeout"
     EVICTED = "evicted"  # to make room for a new connection
     CROWDED = "crowded"  # clients hold nearly all connections allowed to them
@@ -571,7 +574,7 @@
         # Received, and not yet parsed. As arguments and variables of the methods below, these bytes would
         # stay in memory until the whole request is read.
         self._unparsed = b""
-        self._abort = False
+        self._abort: CloseReason | None = None  # why the connection is reset, once that is decided
         self._answered_last = False
         self._discarding = False  # input is read and discarded from now on
         self._upload: Upload | None = None  # the body that is being streamed
@@ -657,7 +660,9 @@
         if now < self._deadline or self._discarding:
             return
         if self._upload is not None:
-            self._abort_connection()  # its answer is pending, and no server has the last byte
+            self._abort_connection(
+                CloseReason.UPLOAD_LATE
+            )  # its answer is pending; no server has the last byte
         elif self._pending:
             return
         elif self._partial:
@@ -687,7 +692,7 @@
             pass
         except Exception:
             log.exception("serving a client failed")
-            self._abort = True
+            self._abort = CloseReason.BROKEN
 
     def _finish(self) -> None:
         # A cancelled task keeps its exception, whose traceback keeps its frames, which keep this client: a
@@ -709,7 +714,7 @@
         self._pending.clear()
         if not self.wire.closed:
             self._agent.events.add(Event.CLOSED, self._close_reason())
-        self.wire.close(self._abort)
+        self.wire.close(self._abort is not None)
         self._listener.closed(self)
 
     def _drop_incoming(self) -> None:
@@ -720,8 +725,8 @@
 
     def _close_reason(self) -> CloseReason:
         """Return why the connection closes, if its task has ended by itself."""
-        if self._abort:
-            return CloseReason.BROKEN
+        if self._abort is not None:
+            return self._abort
         return CloseReason.ANSWERED_LAST if self._answered_last else CloseReason.CLIENT
 
     def _abandon(self, pending: _PendingAnswer) -> None:
@@ -911,7 +916,9 @@
             return False
         if self._upload is not None and self._incoming is not None:
             self._incoming.share.release()
-            self._abort_connection()  # its answer is pending, and no server has the last byte
+            self._abort_connection(
+                CloseReason.UPLOAD_LATE
+            )  # its answer is pending; no server has the last byte
         elif self.unfinished:
             self.reject(503, "no room for a body that does not come", RejectReason.STALLED)
         else:
@@ -1068,7 +1075,7 @@
                     break
         except h11.RemoteProtocolError:
             pass
-        self._abort = True
+        self._abort = CloseReason.BROKEN
         raise _Disconnected
 
     def _take(
@@ -1281,16 +1288,16 @@
                 if self._answer_sent(last):
                     return
         except OSError:
-            self._abort_connection()
+            self._abort_connection(CloseReason.CLIENT)
         except Exception:
             log.exception("answering a client failed")
-            self._abort_connection()
+            self._abort_connection(CloseReason.BROKEN)
 
     async def _write_rest(self, rest: memoryview, last: bool) -> None:
         try:
             await self.wire.send(rest, STALL_S)
-        except OSError:
-            self._abort_connection()
+        except OSError as error:
+            self._abort_connection(_reason_of_failed_send(error))
             return
         self._writer = None
         if not self._answer_sent(last):
@@ -1302,6 +1309,7 @@
         Any error aborts the connection, so that the client knows that the answer is incomplete.
         """
         chunked = pending.parser is None and stream.length is None
+        writing = False
         try:
             while piece := await stream.read():
                 if pending.parser is not None:
@@ -1309,15 +1317,18 @@
                 else:
                     data += b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece
                 piece = b""
+                writing = True
                 await self.wire.send(data, STALL_S)
+                writing = False
                 data = b""
             if pending.parser is not None:
                 data += pending.parser.send(h11.EndOfMessage()) or b""
             elif chunked:
                 data += b"0\r\n\r\n"
+            writing = True
             await self.wire.send(data, STALL_S)
-        except (OSError, h11.LocalProtocolError):
-            self._abort_connection()
+        except (OSError, h11.LocalProtocolError) as error:
+            self._abort_connection(_reason_of_failed_send(error) if writing else CloseReason.ANSWER_BROKEN)
             return
         if pending.parser is not None:
             last = pending.parser.our_state is not h11.DONE
@@ -1325,9 +1336,9 @@
         if not self._answer_sent(last):
             self._flush()
 
-    def _abort_connection(self) -> None:
+    def _abort_connection(self, reason: CloseReason) -> None:
         # Without a reset the client could mistake what it has for the whole answer.
-        self._abort = True
+        self._abort = reason
         self.cancel()
 
     def _answer_sent(self, last: bool) -> bool:
@@ -1382,6 +1393,11 @@
         return whole, pending.parser.our_state is not h11.DONE, None
 
 
+def _reason_of_failed_send(error: Exception) -> CloseReason:
+    """Return why a connection closes whose client could not be sent its answer."""
+    return CloseReason.NOT_READING if isinstance(error, TimeoutError) else CloseReason.CLIENT
+
+
 def _to_answer(final: FinalAnswer) -> Answer:
     """Convert a final result to an HTTP answer."""
     if isinstance(final, Answer):
--- a/sorrelfront/platform/service.py
+++ b/sorrelfront/platform/service.py
@@ -118,6 +118,8 @@
             values[f"overload.{name}"] = tally.refused
             values[f"error.{name}"] = tally.failed
         values["dispatches"] = self._upstream.requests_written
+        values["answers_unfinished"] = self._upstream.answers.unfinished
+        values["answers_cut"] = self._upstream.answers.cut
         values["concurrent"] = 0 if self.listener is None else self.listener.in_flight
         values["targets"] = agent.targets
         values["targets_disabled"] = agent.targets_excluded
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -41,6 +41,14 @@
     Wire,
     end_to_end,
 )
+from sorrelfront.upstreams.answer_faults import (
+    AnswerFault,
+    AnswerLog,
+    BrokenAnswer,
+    InvalidAnswer,
+    TruncatedAnswer,
+    fault_of,
+)
 
 log = logging.getLogger(__name__)
 
@@ -65,10 +73,6 @@
     """All file descriptors for backend connections are used by attempts in flight."""
 
 
-class InvalidAnswer(Exception):
-    """The data received is not a valid answer. The request may have run, and the backend is up."""
-
-
 class _UnexpectedData(Exception):
     """A reused connection delivered data before the request was sent."""
 
@@ -99,6 +103,7 @@
         self.requests_written = 0  # requests completely written to backends
         self._last_idle_scan = 0.0
         self.events = EventCounter()
+        self.answers = AnswerLog(self.events)
 
     def resize(self, descriptors: int, idle_us: int, connect_timeout_us: int) -> None:
         """Apply other limits; connections over a lower one are closed as attempts end."""
@@ -410,6 +415,7 @@
 
     def failure_result(self, reader: _AnswerReader, fault: Exception) -> AttemptResult | None:
         """Return the result of an exchange that failed; None if its last byte was not written."""
+        reader.note_fault(fault)
         reader.close()
         if not self.sent:
             return None
@@ -512,6 +518,18 @@
             left_s = self._upload_budget_s(upload) - DEADLINE_MARGIN_US / 1e6
         return min(STREAM_IDLE_TIMEOUT_S, max(STALL_S, left_s))
 
+    def note_broken(
+        self, fault: AnswerFault, received: int, began: float, latest: float, streamed: bool
+    ) -> None:
+        """Count and log an answer that ended before it was whole, with the times of its bytes so far."""
+        now = time.monotonic()
+        upload = self._call.upload
+        left_s = self._deadline - now if upload is None else self._upload_budget_s(upload)
+        client_id, server = self._call.client_id, self._address
+        self._upstream.answers.add(
+            BrokenAnswer(fault, client_id, server, received, now - began, now - latest, left_s, streamed)
+        )
+
     def _upload_budget_s(self, upload: Upload) -> float:
         """Return how much of its time the client of a streamed body has left, if it has sent everything."""
         now = time.monotonic()
@@ -828,18 +846,24 @@
             if self._received > MAX_STREAMED_BODY or (
                 self._remaining is not None and len(data) > self._remaining
             ):
-                raise BodyAborted("the answer exceeds the size limit or its declared length")
+                raise TruncatedAnswer(
+                    AnswerFault.TOO_LONG, "the answer exceeds a limit or its declared length"
+                )
             if self._remaining is not None:
                 self._remaining -= len(data)
-        except BaseException:
-            self.close()
+        except BaseException as error:
+            self._abort(fault_of(error))
             raise
         return data
 
     def close(self) -> None:
         """Close the connection unless the body has been read to its end."""
+        self._abort(AnswerFault.CANCELLED)
+
+    def _abort(self, fault: AnswerFault) -> None:
         reader = self._detach()
         if reader is not None:
+            reader.note_broken_stream(fault, self._received)
             reader.close()
 
     def _finish(self, complete: bool) -> bytes:
@@ -857,7 +881,7 @@
 
     def _pause_limit_s(self) -> float:
         if self._reader is None:
-            raise BodyAborted("the answer was closed while it was read")
+            raise TruncatedAnswer(AnswerFault.CANCELLED, "the answer was closed while it was read")
         return self._reader.pause_limit_s()
 
     async def _read_next(self) -> bytes:
@@ -870,7 +894,7 @@
             return self._finish(not self._excess)
         data = await self._receive()
         if not data:
-            raise BodyAborted("the answer is truncated")
+            raise TruncatedAnswer(AnswerFault.TRUNCATED, "the answer is truncated")
         self._excess = len(data) > self._remaining
         return data[: self._remaining]
 
@@ -881,6 +905,8 @@
             self._share.hold(len(self._parser.trailing_data[0]))
         data = await self._wire.receive(self._pause_limit_s())
         self._share.hold(len(data))
+        if data and self._reader is not None:
+            self._reader.note_received()
         return data
 
     async def _read_next_h11(self, parser: h11.Connection) -> bytes:
@@ -891,16 +917,19 @@
                     parser.receive_data(await self._receive())
                     continue
             except h11.RemoteProtocolError as fault:
-                raise BodyAborted(str(fault)) from None
+                ended = AnswerFault.TRUNCATED if parser.trailing_data[1] else AnswerFault.MALFORMED
+                raise TruncatedAnswer(ended, str(fault)) from None
             if isinstance(event, h11.Data):
                 if event.data:
                     return bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 if self._remaining:
-                    raise BodyAborted("the answer is shorter than its declared length")
+                    raise TruncatedAnswer(
+                        AnswerFault.TRUNCATED, "the answer lacks bytes of its declared length"
+                    )
                 return self._finish(_is_complete(parser))
             else:
-                raise BodyAborted("the answer is truncated")
+                raise TruncatedAnswer(AnswerFault.TRUNCATED, "the answer is truncated")
 
 
 class _AnswerReader:
@@ -929,7 +958,7 @@
         self._writer = writer
         self.reused = reused
         self._started = False  # part of the answer was received
-        self._first_byte_at = 0.0  # when its first byte was received
+        self._first_byte_at = self._last_byte_at = 0.0  # when bytes of it were received
         self.eof = False  # end of file: the backend has closed its sending side
         self._informational_count = 0  # number of informational (1xx) responses
         self._response: h11.Response | None = None  # the head of a 200
@@ -958,7 +987,7 @@
             return await self.wire.receive(STALL_S if self._started else None)
         except TimeoutError:
             # Otherwise an answer shorter than declared would hold the request until the deadline.
-            raise InvalidAnswer("timeout between two reads of the answer") from None
+            raise InvalidAnswer(AnswerFault.PAUSED, "timeout between two reads of the answer") from None
 
     def close(self) -> None:
         """Stop the writer and close the connection."""
@@ -966,6 +995,29 @@
             self._writer.cancel()
         self._exchange.drop(self.wire)
 
+    def note_fault(self, error: BaseException) -> None:
+        """Note, for the log, that this error has ended an answer of which nothing has been passed on."""
+        if self._last_byte_at:
+            truncated = self.eof and isinstance(error, (InvalidAnswer, h11.RemoteProtocolError))
+            self._note(AnswerFault.TRUNCATED if truncated else fault_of(error), self._received(), False)
+
+    def note_broken_stream(self, fault: AnswerFault, received: int) -> None:
+        """Note, for the log, that an answer broke off of which this many bytes have been read."""
+        self._note(fault, received, True)
+
+    def note_received(self) -> None:
+        """Note that more of a long answer has come."""
+        self._last_byte_at = time.monotonic()
+
+    def _note(self, fault: AnswerFault, received: int, streamed: bool) -> None:
+        self._exchange.note_broken(fault, received, self._first_byte_at, self._last_byte_at, streamed)
+
+    def _received(self) -> int:
+        """Return how many bytes of the body are buffered."""
+        if self._h11 is not None:
+            return len(self._body)
+        return max(0, len(self._data) - self._body_start) if self._body_start else 0
+
     def read_available(self) -> AttemptResult | None:
         """Return the answer if it is already received completely, else None; no more is read after this."""
         try:
@@ -979,8 +1031,10 @@
                     if not data:
                         break
                     self.feed(data)
-        except (OSError, _UnexpectedData, InvalidAnswer, h11.RemoteProtocolError):
-            pass
+        except (OSError, _UnexpectedData, InvalidAnswer, h11.RemoteProtocolError) as fault:
+            self.note_fault(fault)
+        else:
+            self.note_fault(TimeoutError())
         self.close()
         return None
 
@@ -989,9 +1043,12 @@
         if data and self.reused and not self._exchange.sent:
             # A late answer to an earlier request would otherwise be taken for the answer to this one.
             raise _UnexpectedData
+        now = time.monotonic()
         if not self._started:
             self._started = True
-            self._first_byte_at = time.monotonic()
+            self._first_byte_at = now
+        if data:
+            self._last_byte_at = now
         self.eof = not data
         self._share.hold(len(data))
         if self._h11 is not None:
@@ -1038,14 +1095,14 @@
             self._finish(received == head.length and not head.last)
             return AttemptResult(_outcome_of_status(head.status, head.headers))
         if not self._exchange.sent:
-            raise InvalidAnswer("answer received before the request was completely sent")
+            raise InvalidAnswer(AnswerFault.EARLY, "the answer came before its request was sent")
         if head.length > MAX_STREAMED_BODY:
-            raise InvalidAnswer("the answer exceeds the size limit")
+            raise InvalidAnswer(AnswerFault.TOO_LONG, "the answer exceeds the size limit")
         if head.length > MAX_BUFFERED_BODY and received:
             return self._start_stream(head, received)
         if received < head.length:
             if self.eof:
-                raise InvalidAnswer("the answer is truncated")
+                raise InvalidAnswer(AnswerFault.TRUNCATED, "the answer is truncated")
             if received and self._lacks_room(head.length):
                 return self._start_stream(head, received)
             return None
@@ -1085,7 +1142,7 @@
                         self._skip_body(parser)
                         return AttemptResult(_outcome_of_status(event.status_code, event.headers))
                     if not self._exchange.sent:
-                        raise InvalidAnswer("answer received before the request was completely sent")
+                        raise InvalidAnswer(AnswerFault.EARLY, "the answer came before its request was sent")
                     self._length = _declared_length(event)
                     self._response = event
                 else:
@@ -1105,18 +1162,18 @@
                     return None
             elif isinstance(event, h11.EndOfMessage):
                 if self._length is not None and len(self._body) != self._length:
-                    raise InvalidAnswer("the answer does not have its declared length")
+                    raise InvalidAnswer(AnswerFault.TRUNCATED, "the answer does not have its declared length")
                 self._finish(_is_complete(parser))
                 return AttemptResult(Outcome.OK, Answer(200, end_to_end(self._response.headers), self._body))
             else:
-                raise InvalidAnswer("the answer is truncated")
+                raise InvalidAnswer(AnswerFault.TRUNCATED, "the answer is truncated")
 
     def _on_informational(self, parser: h11.Connection, event: object) -> None:
         """Count an informational response (1xx) that precedes the final one."""
         self._informational_count += 1
         known = isinstance(event, h11.InformationalResponse) and event.status_code != 101
         if not known or self._informational_count >= MAX_INFORMATIONAL:
-            raise InvalidAnswer("no final response was received")
+            raise InvalidAnswer(AnswerFault.MALFORMED, "no final response was received")
         self._started = bool(parser.trailing_data[0])  # the final response may still take long
 
     def _skip_body(self, parser: h11.Connection) -> None:
@@ -1161,9 +1218,9 @@
     lengths = [int(value) for name, value in response.headers if name == b"content-length"]
     chunked = any(name == b"transfer-encoding" for name, _ in response.headers)
     if chunked == bool(lengths):
-        raise InvalidAnswer("the length of the answer is missing or ambiguous")
+        raise InvalidAnswer(AnswerFault.AMBIGUOUS_LENGTH, "the length of the answer is missing or ambiguous")
     if lengths and lengths[0] > MAX_STREAMED_BODY:
-        raise InvalidAnswer("the answer exceeds the size limit")
+        raise InvalidAnswer(AnswerFault.TOO_LONG, "the answer exceeds the size limit")
     return lengths[0] if lengths else None
 
 
