Pass on answers without a length, which end with their connection

Cause: _declared_length rejected an answer with neither a length nor chunks, since one that breaks off cannot be told from a whole one.

Change: such an answer has no declared length, as a chunked one. h11 ends it at the end of the connection; a reset fails the attempt, or breaks off what is passed on in chunks; the connection is not kept. The bound on its size, the memory budget and the client's time hold as for chunked ones. Two lengths are still rejected at the head.

Not told apart: a server that ends an answer in order before it is whole. HTTP has no sign for it.

--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -1204,15 +1204,15 @@
 
 
 def _declared_length(response: h11.Response) -> int | None:
-    """Return the declared length of an answer, or None if it is chunked.
+    """Return the declared length of an answer; None if it is chunked or ends with its connection.
 
-    Other answers are rejected: one delimited by the close of the connection cannot be told from a truncated
-    one, and one with two lengths could end at either. Raises InvalidAnswer.
+    An orderly end of the connection ends the latter (RFC 9112, 6.3), a reset breaks it off. An answer with
+    two lengths could end at either. Raises InvalidAnswer.
     """
     lengths = [int(value) for name, value in response.headers if name == b"content-length"]
     chunked = any(name == b"transfer-encoding" for name, _ in response.headers)
-    if chunked == bool(lengths):
-        raise InvalidAnswer(AnswerFault.AMBIGUOUS_LENGTH, "the length of the answer is missing or ambiguous")
+    if chunked and lengths:
+        raise InvalidAnswer(AnswerFault.AMBIGUOUS_LENGTH, "the answer has two lengths")
     if lengths and lengths[0] > MAX_STREAMED_BODY:
         raise InvalidAnswer(AnswerFault.TOO_LONG, "the answer exceeds the size limit")
     return lengths[0] if lengths else None
