Pass on a long answer past its client's time while its server still writes

Callers saw: long answers in lumps, whose server paused for some 0.75 s, were cut off around the end of the client's time.

Cause, two lines: a pause in an answer that is passed on could last 0.3 s past the client's time, whatever pauses it had before (pause_limit_s); and an answer of unknown length is buffered up to 64 KiB, so that of a slow one nothing had been passed on when its time ended, and it failed.

Ruled out: the client's front (it resets after 5 s without progress), the memory budget.

Change: upstreams/pace.py has the rule, without I/O. Until the client's time is over a pause has no limit; past it, 0.4 s in any case, and up to twice the longest pause of that answer (1 to 2.5 s). A server that trickles is given up after 10 s of such pauses, more where it keeps 16 kB/s. As its time ends, an answer of unknown length of which something has come is passed on from there; of a short declared one the time has ended as before. It counts with its whole time for the estimates, as a late answer.

Weighed: a fixed pause (0.5 s would cut the lumps of the report, 2.5 s would hold every hung answer); passing on every answer from its first byte (no retry after a truncated one).

An answer without an end is broken off once it stops, as before; one of unknown length that stops before 64 KiB is now broken off where it was answered with 503 or 500.

--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -49,14 +49,13 @@
     TruncatedAnswer,
     fault_of,
 )
+from sorrelfront.upstreams.pace import AnswerPace
 
 log = logging.getLogger(__name__)
 
-# The longest pause in a streamed body, in either direction. It is long because only this request waits for
-# it, and what the server would still send is lost if the agent gives up. The client's time ends it sooner,
-# except while its request cannot be complete.
+# The longest pause of a server that takes a streamed body. It is long because only this request waits for it.
+# The client's time ends it sooner, except while its request cannot be complete.
 STREAM_IDLE_TIMEOUT_S = 10.0
-STALL_S = 0.3  # longest pause in an answer past its client's time; a lost packet costs 0.2 s
 MAX_INFORMATIONAL = 16  # 1xx responses before the final one; more count as a flood
 SETTLED_S = 0.02  # idle time after which a close or stray bytes that follow an answer have arrived
 LAST_BYTE_DELAY_S = 0.005  # for a reset after all but the last byte to arrive: a round trip, and a busy peer
@@ -506,25 +505,18 @@
         wire.shutdown(socket.SHUT_RDWR)
         return False
 
-    def pause_limit_s(self) -> float:
-        """Return how long a pause in a long answer may be now, in seconds.
-
-        The client waits for its rest until its time is over. Past that only pauses as in other answers are
-        waited for: what comes on is passed on, but an answer that hangs is ended.
-        """
+    def left_s(self) -> float:
+        """Return how many seconds of its time the client has left, less than zero past it."""
         upload = self._call.upload
-        left_s = self._deadline - time.monotonic()
-        if upload is not None:
-            left_s = self._upload_budget_s(upload) - DEADLINE_MARGIN_US / 1e6
-        return min(STREAM_IDLE_TIMEOUT_S, max(STALL_S, left_s))
+        if upload is None:
+            return self._deadline - time.monotonic()
+        return self._upload_budget_s(upload) - DEADLINE_MARGIN_US / 1e6
 
     def note_broken(
         self, fault: AnswerFault, received: int, began: float, latest: float, streamed: bool
     ) -> None:
         """Count and log an answer that ended before it was whole, with the times of its bytes so far."""
-        now = time.monotonic()
-        upload = self._call.upload
-        left_s = self._deadline - now if upload is None else self._upload_budget_s(upload)
+        now, left_s = time.monotonic(), self.left_s()
         client_id, server = self._call.client_id, self._address
         self._upstream.answers.add(
             BrokenAnswer(fault, client_id, server, received, now - began, now - latest, left_s, streamed)
@@ -828,6 +820,7 @@
         # None once closed. The reader leads to the request, whose answer leads here: such a reference cycle
         # would keep the bodies of both until the garbage collector comes.
         self._reader: _AnswerReader | None = reader
+        self._pace = AnswerPace(longest_s=reader.longest_pause_s)
         self._wire = wire
         self._share = share
         share.streamed = True
@@ -879,11 +872,6 @@
         self._body, self._parser = b"", None
         return reader
 
-    def _pause_limit_s(self) -> float:
-        if self._reader is None:
-            raise TruncatedAnswer(AnswerFault.CANCELLED, "the answer was closed while it was read")
-        return self._reader.pause_limit_s()
-
     async def _read_next(self) -> bytes:
         if self._reader is None:
             return b""
@@ -903,7 +891,11 @@
         self._share.release()
         if self._parser is not None:
             self._share.hold(len(self._parser.trailing_data[0]))
-        data = await self._wire.receive(self._pause_limit_s())
+        if self._reader is None:
+            raise TruncatedAnswer(AnswerFault.CANCELLED, "the answer was closed while it was read")
+        began, left_s = time.monotonic(), self._reader.left_s()
+        data = await self._wire.receive(self._pace.limit_s(left_s))
+        self._pace.paused(time.monotonic() - began, left_s, len(data))
         self._share.hold(len(data))
         if data and self._reader is not None:
             self._reader.note_received()
@@ -959,6 +951,7 @@
         self.reused = reused
         self._started = False  # part of the answer was received
         self._first_byte_at = self._last_byte_at = 0.0  # when bytes of it were received
+        self.longest_pause_s = 0.0  # within the answer
         self.eof = False  # end of file: the backend has closed its sending side
         self._informational_count = 0  # number of informational (1xx) responses
         self._response: h11.Response | None = None  # the head of a 200
@@ -1013,7 +1006,10 @@
         return max(0, len(self._data) - self._body_start) if self._body_start else 0
 
     def read_available(self) -> AttemptResult | None:
-        """Return the answer if it is already received completely, else None; no more is read after this."""
+        """Return the answer as the attempt's time is over, None if there is none to pass on.
+
+        It is received completely by then, or begun (`_begin_late`).
+        """
         try:
             for _ in range(MAX_FINAL_READS):
                 ended = self.parse()
@@ -1028,10 +1024,23 @@
         except (OSError, _UnexpectedData, InvalidAnswer, h11.RemoteProtocolError) as fault:
             self.note_fault(fault)
         else:
+            begun = self._begin_late()
+            if begun is not None:
+                return begun
             self.note_fault(TimeoutError())
         self.close()
         return None
 
+    def _begin_late(self) -> AttemptResult | None:
+        """Begin to stream an answer of unknown length when there is no time left to buffer it.
+
+        It may be a long one, which would have been passed on already if it had declared its length. What
+        comes of it past the client's time is limited by its pace.
+        """
+        if self._h11 is None or self._response is None or self._length is not None or not self._body:
+            return None
+        return self._stream_h11(self._h11, self._response)
+
     def feed(self, data: bytes) -> None:
         """Add received data; empty data is the end of the connection. Raises _UnexpectedData."""
         if data and self.reused and not self._exchange.sent:
@@ -1041,6 +1050,8 @@
         if not self._started:
             self._started = True
             self._first_byte_at = now
+        elif now - self._last_byte_at > self.longest_pause_s:
+            self.longest_pause_s = now - self._last_byte_at
         if data:
             self._last_byte_at = now
         self.eof = not data
@@ -1116,9 +1127,9 @@
         download = _Download(self, self.wire, head.length, None, body, self._share)
         return AttemptResult(Outcome.OK, Answer(200, end_to_end(head.headers), b"", download))
 
-    def pause_limit_s(self) -> float:
-        """Return how long a pause in a long answer may be now, in seconds."""
-        return self._exchange.pause_limit_s()
+    def left_s(self) -> float:
+        """Return how many seconds of its time the client has left, less than zero past it."""
+        return self._exchange.left_s()
 
     def finish_stream(self, complete: bool) -> None:
         """Finish a long answer; the connection is kept if `complete` and neither side closes it."""
@@ -1146,11 +1157,7 @@
                 if max(len(self._body), self._length or 0) > MAX_BUFFERED_BODY or self._lacks_room(
                     max(len(self._body), self._length or 0)
                 ):
-                    body, self._body = bytes(self._body), bytearray()
-                    download = _Download(self, self.wire, self._length, parser, body, self._share)
-                    return AttemptResult(
-                        Outcome.OK, Answer(200, end_to_end(self._response.headers), b"", download)
-                    )
+                    return self._stream_h11(parser, self._response)
                 self._pieces += 1
                 if self._pieces >= MAX_CHUNKS_PER_TURN:
                     return None
@@ -1162,6 +1169,12 @@
             else:
                 raise InvalidAnswer(AnswerFault.TRUNCATED, "the answer is truncated")
 
+    def _stream_h11(self, parser: h11.Connection, response: h11.Response) -> AttemptResult:
+        """Begin to stream an answer that h11 parses."""
+        body, self._body = bytes(self._body), bytearray()
+        download = _Download(self, self.wire, self._length, parser, body, self._share)
+        return AttemptResult(Outcome.OK, Answer(200, end_to_end(response.headers), b"", download))
+
     def _on_informational(self, parser: h11.Connection, event: object) -> None:
         """Count an informational response (1xx) that precedes the final one."""
         self._informational_count += 1
