See a client's close behind what it has sent and is still unread

Cause: Wire.hung_up looked at the next unread byte, so a close behind further requests stayed hidden until they had been read, and each was accepted and sent meanwhile. Ruled out: the check before each last byte is made (Agent._may_send), it asks hung_up.

Change: where bytes are unread, hung_up asks the kernel whether the close has arrived behind them (poll, POLLRDHUP); a usual request has none and costs nothing more. A body that waits for memory is given up at once when its client has closed, as a complete one is.

Test: nothing is sent for a client that closes behind unread requests; one request was on, in both cases.

--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -865,7 +865,8 @@
         retried for nobody. The cost: where memory is short, a client that pipelines a long body behind
         pending requests gets an error for it.
 
-        Raises BadRequest if there is no room before the client's time, or the time to send, is over.
+        Raises BadRequest if there is no room before the client's time, or the time to send, is over, and
+        _Disconnected if the client has gone.
         """
         share, unread = incoming.share, incoming.unread
         if share.has_room():
@@ -874,8 +875,10 @@
             raise BadRequest(503, "no room for a body behind requests that wait", RejectReason.NO_ROOM)
         # A client that has sent nothing further needs no room yet.
         await self._wait_for_client(incoming, self.wire.wait_for_input())
-        if self._discarding or self.wire.hung_up():
+        if self._discarding:
             return
+        if self.wire.hung_up():
+            raise _Disconnected
         began = time.monotonic()
         unread.pause(began, len(incoming.data))
         limit_s = self._deadline - began
--- a/sorrelfront/net/http.py
+++ b/sorrelfront/net/http.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import struct
 from collections.abc import Callable, Iterable
@@ -249,15 +250,25 @@
         return False
 
     def hung_up(self) -> bool:
-        """Return whether the peer has closed its sending side or reset, with no unread bytes before that."""
-        if self.closed or self._received is not None:
-            return self.closed or not self._received or isinstance(self._received, OSError)
+        """Return whether the peer has closed its sending side or reset, also behind unread bytes."""
+        if self.closed:
+            return True
+        if self._received is not None and (not self._received or isinstance(self._received, OSError)):
+            return True
         try:
-            return not self.sock.recv(1, socket.MSG_PEEK)
+            if not self.sock.recv(1, socket.MSG_PEEK):
+                return True
         except (BlockingIOError, InterruptedError):
             return False
         except OSError:
             return True
+        return self._end_has_arrived()
+
+    def _end_has_arrived(self) -> bool:
+        """Return whether the kernel has a close or reset behind unread bytes (poll(2), POLLRDHUP)."""
+        poller = select.poll()
+        poller.register(self._fd, select.POLLRDHUP)
+        return bool(poller.poll(0))
 
     def shutdown(self, how: int) -> None:
         """Shut down one or both directions; errors are ignored."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -13,10 +13,12 @@
 import pytest
 
 from sorrelfront.decisions.interface import Action
+from sorrelfront.events import Event
 from sorrelfront.fronts import http1 as listener
 from sorrelfront.lab.http1 import gated_script
 from sorrelfront.lab.load_generator import SocketClient
 from sorrelfront.net.http import Wire
+from sorrelfront.upstreams.http1 import SETTLED_S
 from tests.loopback import Backend, answer, async_test, connect, request, running_agent, until
 
 OK = answer(b"served")
@@ -150,6 +152,27 @@
         assert len(backend.received) == 1
 
 
+# Guards against requests that are sent on for a client whose close lies behind more that it has sent.
+@pytest.mark.parametrize("more", ["", "Connection: keep-alive, x\r\n"])
+@async_test
+async def test_nothing_is_sent_for_a_client_that_closes_behind_unread_requests(more: str) -> None:
+    backend = await Backend(OK).start()
+    async with running_agent(backend) as made:
+        stays = await made.client()
+        stays.send(request("before"))
+        assert (await stays.answer())[0] == 200
+        await asyncio.sleep(2 * SETTLED_S)  # on such a connection the next request is sent at once
+        gone = SocketClient(made.listener.address)
+        gone.send(b"".join(request(f"r{number}", "book", bytes(30_000), more=more) for number in range(4)))
+        gone.close()  # before the agent, in this event loop, has read anything
+        await until(lambda: made.agent.events.count(Event.CLOSED, listener.CloseReason.CLIENT) == 1)
+        await until(lambda: made.agent.attempts == 0)
+        stays.send(request("after"))
+        assert (await stays.answer())[0] == 200
+        assert len(backend.received) == 2 and made.agent.pending_requests == 0
+        assert made.upstream.memory.held == 0
+
+
 @pytest.mark.parametrize("checks", [1, 2])
 @async_test
 async def test_a_client_that_disconnects_between_two_checks_of_its_socket(
