Remember the ids of requests that may have run, and reject them when they come again

Play on: an unsafe request, its client closes while the server works, the same id on another connection: sent again, in each of four cases (client gone or answered, unsafe or keyed).

Cause: only the ids in flight were known (Agent._open_ids), and an id left that set with its client or its answer, though its attempt had run or still ran. PROTOCOL: an id is new with every request, also with a client's retry, so one that comes again is no usual request.

Change: decisions/request_ids.py keeps the ids of requests with an effect from the moment an attempt is decided on; one whose attempts are all proven not to have run is forgotten. The front answers a known one with 409, as for one in flight. Ids of safe requests may come again, as before.

Bounded: two generations, together one id for each 8 kB of the memory limit (4,096 at 32 MB, some 0.8 MB with ids of 128 bytes).

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from enum import StrEnum
 from functools import partial
 from typing import Protocol, TypeVar
 
@@ -14,6 +15,7 @@
 from sorrelfront.decisions import interface as api
 from sorrelfront.decisions.balancer import Balancer
 from sorrelfront.decisions.overrides import Overrides
+from sorrelfront.decisions.request_ids import RequestIds
 from sorrelfront.events import Event, EventCounter
 from sorrelfront.lists import Directory
 from sorrelfront.messages import Address, Answer, AttemptResult, Call, Failed, FinalAnswer, Refused, Update
@@ -31,11 +33,20 @@
 MIN_UPLOAD_RATE = 16_000
 # Sent with a refusal when the maximum number of requests is in flight: about how long one request takes.
 FULL_RETRY_AFTER_US = 500_000
+# Of the memory limit for each remembered request id. An id has 128 bytes at most, and with its place in a set
+# takes some 200.
+MEMORY_PER_ID = 8_192
 MAX_NAMES_LOGGED = 8  # maximum number of servers named in one log line
 
 E = TypeVar("E")
 
 
+class IdReason(StrEnum):
+    """Why a request fails because of its id."""
+
+    SENT_ELSEWHERE = "id-sent-elsewhere"  # by the other process of an upgrade, at the same time
+
+
 class Clock:
     """Monotonic clock in microseconds with an offset to Unix time that is set once.
 
@@ -119,13 +130,17 @@
 class PendingRequest:
     """A request in flight: taken, without its final answer yet."""
 
-    __slots__ = ("answer", "attempts", "call", "deadline_timer", "id", "latest_at", "on_answered", "outcome")
+    __slots__ = (
+        "answer", "attempts", "call", "deadline_timer", "id", "latest_at", "may_have_run", "on_answered",
+        "outcome",
+    )  # fmt: skip
 
     def __init__(self, number: int, call: Call, answer: asyncio.Future[FinalAnswer]) -> None:
         self.id = number
         self.call = call
         self.answer = answer
         self.attempts = 0
+        self.may_have_run = 0  # attempts in flight, or ended without a proof that they never ran
         self.outcome: api.Outcome | None = None  # of the last attempt that ended
         self.deadline_timer: asyncio.TimerHandle | None = None
         self.latest_at = 0.0  # when it is answered at the latest, on the event loop's clock
@@ -179,6 +194,7 @@
         self._source = make_source(config, self._on_update, self._on_failure)
         self._pending: dict[int, PendingRequest] = {}
         self._open_ids: set[bytes] = set()  # client ids of the requests in flight
+        self.request_ids = RequestIds(config.memory_bytes // MEMORY_PER_ID)
         self._running: dict[tuple[int, int], AttemptHandle] = {}
         self._closed = False
         self._requests_taken = 0
@@ -281,9 +297,11 @@
         """Return the request class with this name, or None if there is none."""
         return self._classes.get(name)
 
-    def has_open(self, client_id: bytes) -> bool:
-        """Return whether a request with this client id is in flight."""
-        return client_id in self._open_ids
+    def has_seen(self, call: Call) -> bool:
+        """Return whether its id is that of a request in flight, or one with an effect that may have run."""
+        if call.client_id in self._open_ids:
+            return True
+        return call.has_effect and self.request_ids.known(call.client_id)
 
     # Events
 
@@ -539,8 +557,14 @@
             return
         if held.outcome is not None:
             self._events.add(Event.RETRIED, held.outcome, _log_id(held.call))
+        first = not held.may_have_run
+        held.may_have_run += 1
         key = (held.id, held.attempts)
         held.attempts += 1
+        if first and held.call.has_effect and not self.request_ids.claim(held.call.client_id):
+            self._events.add(Event.FAILED, IdReason.SENT_ELSEWHERE, _log_id(held.call))
+            self._loop.call_soon(self._fail_unsent, held, key)  # not within the decision that has sent it
+            return
         started = self.now()
         backend = action.backend
         address = self._directory.address(backend)
@@ -555,6 +579,11 @@
         task = self._running[key] = asyncio.create_task(self._exchange(held, key, action, started))
         task.add_done_callback(lambda done: self._on_task_done(held, key, backend, done, started))
 
+    def _fail_unsent(self, held: PendingRequest, key: tuple[int, int]) -> None:
+        """Answer a request as failed of which an attempt was decided on and not begun."""
+        self.fail(held)
+        self._on_attempt_ended(held, key, AttemptResult(api.Outcome.UNSENT), 0)
+
     def _may_send(self, held: PendingRequest, action: api.Send) -> bool:
         """Return whether an attempt may still be sent; checked before each of its steps.
 
@@ -637,6 +666,10 @@
         outcome = held.outcome = ended.outcome
         if outcome is not api.Outcome.OK:
             self._events.add(Event.ATTEMPT, outcome, _log_id(held.call))
+        if outcome in api.NEVER_RAN:
+            held.may_have_run -= 1
+            if not held.may_have_run and held.call.has_effect:
+                self.request_ids.forget(held.call.client_id)
         if outcome is api.Outcome.UNREACHABLE and held.id not in self._pending:
             # Nothing may have been sent only because the client had disconnected, and the server must not be
             # closed as unreachable for that. If it is in fact unreachable, the next attempt shows it.
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -122,8 +122,8 @@
         """Return the request class of this name, None if there is none."""
         ...
 
-    def has_open(self, client_id: bytes) -> bool:
-        """Return whether a request with this id is in flight."""
+    def has_seen(self, call: Call) -> bool:
+        """Return whether its id is that of a request in flight, or of one that may not run again."""
         ...
 
     def submit(self, call: Call) -> PendingRequest:
@@ -1003,7 +1003,7 @@
             call = parse_call(head, self._agent)
         except BadRequest:
             return False
-        if self._agent.has_open(call.client_id):
+        if self._agent.has_seen(call):
             return False
         if self._pending and not self._memory.has_request_room():
             return False
@@ -1102,17 +1102,20 @@
             Where the rest of a streamed body goes, None for a complete one.
 
         Raises:
-            BadRequest: A request with this id is in flight.
+            BadRequest: A request with this id is in flight, or may have run.
             _Disconnected: The client has gone.
         """
         incoming, self._incoming = self._incoming, None
         self._partial = False
         waited_us, self.waited_us = self.waited_us, 0
         share.complete()
-        if call is not None and self._agent.has_open(call.client_id):
-            # Where requests are distinguished by id, one of the two would be mistaken for the other.
+        if call is not None and self._agent.has_seen(call):
+            # Where requests are distinguished by id, one of the two would be mistaken for the other. And what
+            # has run under an id must not run again, whoever sends it.
             share.release()
-            raise BadRequest(409, "a request under this X-Call-Id is open")
+            raise BadRequest(
+                409, "a request under this X-Call-Id is open or may have run", RejectReason.REPEATED_ID
+            )
         if call is None:
             share.release()
             refusing = self._listener.refusing
--- a/sorrelfront/fronts/request_head.py
+++ b/sorrelfront/fronts/request_head.py
@@ -53,6 +53,7 @@
     NO_ROOM = "no-room"
     STALLED = "stalled"  # it stopped in the middle of its body while others needed the memory
     GOING_AWAY = "going-away"
+    REPEATED_ID = "repeated-id"  # its id is that of a request in flight, or of one that may have run
     BAD_REQUEST = "bad-request"  # it cannot be parsed, is not allowed, or is too long
 
 
@@ -126,6 +127,7 @@
         cost_hint_us=int(cost) if cost.isdigit() and len(cost) <= 12 else 0,
         is_retry=values.get(b"x-again") == b"1",
         repeatable=cls.effect is not Effect.UNSAFE,
+        has_effect=cls.effect is not Effect.SAFE,
     )
 
 
--- a/sorrelfront/messages.py
+++ b/sorrelfront/messages.py
@@ -87,6 +87,7 @@
     cost_hint_us: int = 0
     is_retry: bool = False
     repeatable: bool = False  # a second execution is harmless or is deduplicated
+    has_effect: bool = True  # its execution changes something, if only the first one of its key
     upload: Upload | None = None  # the body, if it is too long to be buffered
     # Returns whether the client has disconnected, even if this has not been reported yet. None if the front
     # cannot detect it.
--- a/sorrelfront/sites/requests.py
+++ b/sorrelfront/sites/requests.py
@@ -492,7 +492,7 @@
         """Return the request class of this name, or None if there is none."""
         return self._agent.request_class(name)
 
-    def has_open(self, client_id: bytes) -> bool:
+    def has_seen(self, call: Call) -> bool:
         """Return False: callers of different sites may use the same request ids."""
         return False
 
