Exchange the ids of sent requests between the two versions of an upgrade

Play on: 300 unsafe requests at the old version, the new one becomes ready, the same ids come to it: all are sent again.

Cause: each version knew its own ids only, and both serve for as long as the old one's connections last.

Change: over the connection that both have for the upgrade, each version tells the other of an id before it sends the request, and looks at what the other has told of after that; at the connect the old one sends all that it remembers. The queue of a Unix socket has a message from the moment of its send, so of two requests with one id that come to both at once at least one version knows of the other's (checked for each order of the steps). The loser's request fails, unsent. A version that does not know the message ignores it, in both directions. What a full queue does not take is kept and sent later, 65,536 ids at most.

Without a shared folder there is no such connection (SO_REUSEPORT alone), and ids are not exchanged.

Weighed: asking the other version before each send (a round trip for each request, and a wait for a version that stands still); only the list at the connect (misses what either sends afterwards).

--- /dev/null
+++ b/sorrelfront/platform/id_exchange.py
@@ -0,0 +1,130 @@
+"""Exchange of request ids between two versions of an agent that serve at one address.
+
+Each tells the other of the ids of its requests with an effect (`decisions/request_ids.py`), over the
+connection of `upgrade.py`. What is told lies in the connection's queue from the moment `tell` returns, unless
+that queue is full: then it is kept here, MAX_UNSENT_IDS at most, and sent as there is room.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+import socket
+from collections import deque
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from sorrelfront.decisions.request_ids import RequestIds
+
+log = logging.getLogger(__name__)
+
+MAX_MESSAGE_BYTES = 4_096
+MAX_IDS_BYTES = 4_000  # of the ids in one message
+MAX_UNSENT_IDS = 65_536  # the most that two generations of ids may be
+
+
+def decode(data: bytes) -> dict[str, Any]:
+    """Decode a message; empty if it is not a JSON object."""
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError):
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+class IdExchange:
+    """One end of the connection to another version: reads all its messages, and sends ids."""
+
+    def __init__(
+        self, channel: socket.socket, ids: RequestIds, on_message: Callable[[dict[str, Any] | None], None]
+    ) -> None:
+        """Send all ids known so far, and those to come.
+
+        `on_message` is called with each message of the other version, and with None once it has ended, in a
+        step of the event loop of its own.
+        """
+        self._channel = channel
+        self._ids = ids
+        self._on_message = on_message
+        self._loop = asyncio.get_running_loop()
+        self._unsent: deque[bytes] = deque(ids, MAX_UNSENT_IDS)
+        self._writing = False
+        self._ended = False
+        channel.setblocking(False)
+        ids.connect(self)
+        self._loop.add_reader(channel.fileno(), self.listen)
+        self._flush()
+
+    def tell(self, request_id: bytes) -> None:
+        """Tell the other version of an id, without waiting."""
+        self._unsent.append(request_id)
+        self._flush()
+
+    def listen(self) -> None:
+        """Take in all that the other version has sent so far."""
+        while not self._ended:
+            try:
+                data = self._channel.recv(MAX_MESSAGE_BYTES)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:
+                data = b""
+            if not data:
+                self.close()
+                self._loop.call_soon(self._on_message, None)
+                return
+            message = decode(data)
+            ids = message.get("ids")
+            if isinstance(ids, list):
+                self._add_ids(ids)
+            else:
+                self._loop.call_soon(self._on_message, message)
+
+    def close(self) -> None:
+        """Exchange no more ids. The connection itself stays open."""
+        if self._ended:
+            return
+        self._ended = True
+        self._ids.disconnect(self)
+        self._loop.remove_reader(self._channel.fileno())
+        if self._writing:
+            self._loop.remove_writer(self._channel.fileno())
+        self._unsent.clear()
+
+    def _add_ids(self, ids: list[Any]) -> None:
+        for one in ids:
+            if isinstance(one, str):
+                with contextlib.suppress(UnicodeEncodeError):
+                    self._ids.add_told(one.encode("latin-1"), self)
+
+    def _flush(self) -> None:
+        """Send what is unsent as far as the connection takes it; the rest as it has room."""
+        while self._unsent and not self._ended:
+            batch = [*self._next_batch()]
+            message = json.dumps({"ids": [one.decode("latin-1") for one in batch]}).encode()
+            try:
+                self._channel.send(message)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError:
+                return  # its end is seen by the reader
+            for _ in batch:
+                self._unsent.popleft()
+        self._watch_writable(bool(self._unsent) and not self._ended)
+
+    def _next_batch(self) -> Iterator[bytes]:
+        size = 0
+        for one in self._unsent:
+            size += 2 * len(one) + 4  # JSON writes each quote or backslash as two bytes
+            if size > MAX_IDS_BYTES:
+                return
+            yield one
+
+    def _watch_writable(self, on: bool) -> None:
+        if on and not self._writing:
+            self._loop.add_writer(self._channel.fileno(), self._flush)
+        elif self._writing and not on:
+            self._loop.remove_writer(self._channel.fileno())
+        self._writing = on
--- a/sorrelfront/platform/service.py
+++ b/sorrelfront/platform/service.py
@@ -56,7 +56,7 @@
         """Accept clients, and tell the previous version that this one serves. Raises OSError."""
         address = self._config.listen
         if self._predecessor is not None:
-            self._predecessor.watch(self._predecessor_changed)
+            self._predecessor.watch(self._predecessor_changed, self._agent.request_ids)
             self._agent.subscribe_early()
         if self._predecessor is not None or self._agent.source_is_local:
             give_up_at = time.monotonic() + LIST_TIMEOUT_S
@@ -75,6 +75,7 @@
                     self.listener.fileno,
                     self._descriptors_needed,
                     self._successor_changed,
+                    self._agent.request_ids,
                 )
             except OSError as fault:
                 log.warning("the next version will have to listen beside this one: %s", fault)
--- a/sorrelfront/platform/upgrade.py
+++ b/sorrelfront/platform/upgrade.py
@@ -9,6 +9,8 @@
     current -> next   hello, once, with the socket: {"version": 1, "listen": [host, port]}
     current -> next   every REPORT_INTERVAL_S: {"open": descriptors that it still needs}
     next -> current   {"ready": true}
+    both ways         {"ids": [id, ...]}: of requests with an effect that the sender has sent to a server,
+                      or is about to; a version that does not know this message ignores it
     the end of the connection: that process has ended
 
 Both versions together may use no more descriptors and memory than one. Until the connection ends each takes
@@ -31,13 +33,14 @@
 from pathlib import Path
 from typing import Any
 
+from sorrelfront.decisions.request_ids import RequestIds
 from sorrelfront.messages import Address
+from sorrelfront.platform.id_exchange import MAX_MESSAGE_BYTES, IdExchange, decode
 
 log = logging.getLogger(__name__)
 
 PROTOCOL_VERSION = 1
 SOCKET_NAME = "next-version"  # in the shared folder
-MAX_MESSAGE_BYTES = 4_096
 REPORT_INTERVAL_S = 0.1  # between reports of the descriptors that are still needed
 HELLO_TIMEOUT_S = 1.0  # for the current version to answer; it may have to wait for its core
 CREDENTIALS = struct.Struct("3i")  # pid, uid, gid: struct ucred
@@ -61,15 +64,6 @@
     return bool(uid == os.geteuid())
 
 
-def _decode(data: bytes) -> dict[str, Any] | None:
-    """Decode a message, or return None if it is not a JSON object."""
-    try:
-        value = json.loads(data)
-    except (ValueError, RecursionError):
-        return None
-    return value if isinstance(value, dict) else None
-
-
 class Predecessor:
     """The connection of the next version to the current one."""
 
@@ -77,12 +71,15 @@
         self._channel = channel
         self.listening = listening
         self._on_report: Callable[[int | None], None] | None = None
+        self._exchange: IdExchange | None = None
 
-    def watch(self, on_report: Callable[[int | None], None]) -> None:
-        """Call `on_report` with the descriptors that the current version needs, and with None at its end."""
+    def watch(self, on_report: Callable[[int | None], None], ids: RequestIds) -> None:
+        """Call `on_report` with the descriptors that the current version needs, and with None at its end.
+
+        Request ids are exchanged with it meanwhile.
+        """
         self._on_report = on_report
-        self._channel.setblocking(False)
-        asyncio.get_running_loop().add_reader(self._channel.fileno(), self._receive)
+        self._exchange = IdExchange(self._channel, ids, self._handle)
 
     def ready(self) -> None:
         """Report that this version serves now."""
@@ -91,23 +88,19 @@
 
     def close(self) -> None:
         """Close the connection to the current version."""
-        if self._on_report is not None and self._channel.fileno() >= 0:
-            asyncio.get_running_loop().remove_reader(self._channel.fileno())
+        if self._exchange is not None:
+            self._exchange.close()
         self._channel.close()
 
-    def _receive(self) -> None:
-        try:
-            data = self._channel.recv(MAX_MESSAGE_BYTES)
-        except (BlockingIOError, InterruptedError):
-            return
-        except OSError:
-            data = b""
+    def _handle(self, message: dict[str, Any] | None) -> None:
+        if self._channel.fileno() < 0:
+            return  # closed meanwhile
         assert self._on_report is not None
-        if not data:
+        if message is None:
             self.close()
             self._on_report(None)
             return
-        needed = (_decode(data) or {}).get("open")
+        needed = message.get("open")
         if isinstance(needed, int) and not isinstance(needed, bool) and needed >= 0:
             self._on_report(needed)
 
@@ -124,7 +117,7 @@
             channel.connect(path)
         if _is_same_user(channel):
             data, descriptors, flags, _ = socket.recv_fds(channel, MAX_MESSAGE_BYTES, 1)
-            hello = _decode(data) or {}
+            hello = decode(data)
             expected = {"version": PROTOCOL_VERSION, "listen": [*listen]}
             if hello == expected and len(descriptors) == 1 and not flags & socket.MSG_CTRUNC:
                 listening = socket.socket(fileno=descriptors.pop())
@@ -151,6 +144,7 @@
         listening: Callable[[], int],
         needed: Callable[[], int],
         changed: Callable[[], None],
+        ids: RequestIds,
     ) -> None:
         """Listen for the next version.
 
@@ -160,6 +154,7 @@
             listening: Returns the descriptor of the clients' listening socket.
             needed: Returns the number of descriptors that this version still needs.
             changed: Called when the next version connects, becomes ready and ends.
+            ids: The request ids of this version, which are exchanged with the next one.
 
         Raises:
             OSError: The socket cannot be created.
@@ -169,6 +164,8 @@
         self._listening = listening
         self._needed = needed
         self._changed = changed
+        self._ids = ids
+        self._exchange: IdExchange | None = None
         self._loop = asyncio.get_running_loop()
         self._acceptor: socket.socket | None = None
         self._next: socket.socket | None = None
@@ -189,8 +186,13 @@
         self._stop_accepting()
         if self._report_timer is not None:
             self._report_timer.cancel()
+        self._disconnect()
+
+    def _disconnect(self) -> None:
+        if self._exchange is not None:
+            self._exchange.close()
+            self._exchange = None
         if self._next is not None:
-            self._loop.remove_reader(self._next.fileno())
             self._next.close()
             self._next = None
 
@@ -239,8 +241,8 @@
             channel.close()
             return
         self._next = channel
-        self._loop.add_reader(channel.fileno(), self._receive)
         self._send_report()
+        self._exchange = IdExchange(channel, self._ids, self._handle)
         log.info("the next version has come")
         self._changed()
 
@@ -250,25 +252,18 @@
                 self._next.send(json.dumps({"open": self._needed()}).encode())
             self._report_timer = self._loop.call_later(REPORT_INTERVAL_S, self._send_report)
 
-    def _receive(self) -> None:
-        assert self._next is not None
-        try:
-            data = self._next.recv(MAX_MESSAGE_BYTES)
-        except (BlockingIOError, InterruptedError):
-            return
-        except OSError:
-            data = b""
-        if data:
-            if (_decode(data) or {}).get("ready") is True and not self.ready:
+    def _handle(self, message: dict[str, Any] | None) -> None:
+        if self._next is None:
+            return  # closed meanwhile
+        if message is not None:
+            if message.get("ready") is True and not self.ready:
                 self.ready = True
                 self._stop_accepting()  # the name belongs to the next version now
                 log.info("the next version serves")
                 self._changed()
             return
         log.warning("the next version has ended; this one goes on")
-        self._loop.remove_reader(self._next.fileno())
-        self._next.close()
-        self._next = None
+        self._disconnect()
         if self.ready:
             self.ready = False
             try:
--- a/tests/platform/test_upgrade.py
+++ b/tests/platform/test_upgrade.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from sorrelfront.decisions.request_ids import RequestIds
 from sorrelfront.lab.http1 import WAIT_TIMEOUT_S, Backend, Registry, answer, make_config, member, request
 from sorrelfront.lab.load_generator import LOST, RESET, LoadGenerator, SocketClient, ran_twice
 from sorrelfront.platform import upgrade
@@ -312,6 +313,57 @@
     asyncio.run(play())
 
 
+# Guards against an id that runs twice since it comes to the other version of an upgrade.
+def test_an_id_runs_once_whichever_version_it_comes_to(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with deployment(tmp_path) as made:
+            await (await made.version()).ready()
+
+            async def ask(client: SocketClient, name: str) -> int:
+                client.send(request(name, "pay", b"x"))
+                return int((await client.answer()).split()[1])
+
+            async def ask_anew(name: str) -> int:
+                client = SocketClient(made.address)
+                status = await ask(client, name)
+                client.close()
+                return status
+
+            async def hold(whole: bytes, writer: asyncio.StreamWriter) -> None:
+                if whole.startswith(b"GET"):
+                    await go.wait()
+                writer.write(OK)
+
+            go = asyncio.Event()
+            before = [f"before-{number}" for number in range(300)]
+            assert {await ask_anew(name) for name in before} == {200}
+            for server in made.servers:
+                server.script = hold
+            old = [SocketClient(made.address) for _ in range(20)]
+            for at, client in enumerate(old):  # an unanswered request keeps each at the old version
+                client.send(request(f"held-{at}"))
+            await until(lambda: sum(whole.startswith(b"GET") for whole in made.seen) == 20)
+            await (await made.version()).ready()
+            # Ids that the new version has sent come to the old one, and ids that come to both at once.
+            assert [await ask_anew(f"new-{at}") for at in range(10)] == [200] * 10
+            for at, client in enumerate(old[:10]):
+                client.send(request(f"new-{at}", "pay", b"x"))
+            for at, client in enumerate(old[10:]):
+                client.send(request(f"both-{at}", "pay", b"x"))
+                await ask_anew(f"both-{at}")
+            go.set()
+            for client in old:
+                assert await client.answer() == b"HTTP/1.1 200 "
+            assert {await client.answer() for client in old[:10]} == {b"HTTP/1.1 409 "}
+            # Ids that the old version has sent come to the new one.
+            assert {await ask_anew(name) for name in before} == {409}
+            assert ran_twice(made.seen) == []
+            for client in old:
+                client.close()
+
+    asyncio.run(play())
+
+
 def test_both_together_use_no_more_descriptors_than_one_may(tmp_path: Path) -> None:
     """Idle connections stay at the old version while other clients connect to the new one."""
 
@@ -394,12 +446,13 @@
         with socket.create_server(("127.0.0.1", 0)) as listening:
             changes: list[int] = []
             made = Successor(
-                tmp_path, listening.getsockname(), listening.fileno, lambda: 7, lambda: changes.append(1)
-            )
+                tmp_path, listening.getsockname(), listening.fileno, lambda: 7, lambda: changes.append(1),
+                RequestIds(100),
+            )  # fmt: skip
             found = await asyncio.to_thread(find_predecessor, tmp_path, listening.getsockname())
             assert found is not None and found.listening.getsockname() == listening.getsockname()
             reports: list[int | None] = []
-            found.watch(reports.append)
+            found.watch(reports.append, RequestIds(100))
             await until(lambda: reports[:1] == [7])
             found._channel.send(noise)
             # A second version is rejected while the first is connected.
@@ -415,7 +468,7 @@
             again = await asyncio.to_thread(find_predecessor, tmp_path, listening.getsockname())
             assert again is not None
             again.listening.close()
-            again.watch(reports.append)
+            again.watch(reports.append, RequestIds(100))
             made.close()
             await until(lambda: reports[-1] is None)
 
