--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 import math
 import socket
@@ -14,7 +15,6 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from functools import partial
-from itertools import chain, islice
 from typing import Any, Protocol, TypeVar
 
 import h11
@@ -55,6 +55,9 @@
 BACKLOG_POLL_S = 0.005  # between checks whether the backlog is empty, during shutdown
 ACCEPT_RETRY_S = 0.01  # after a failed accept; descriptors are freed as attempts end
 BACKLOG = 4096  # a surge waits here; a dropped SYN is resent only after a second
+# Requests of one connection that are parsed before other connections have their turn. One read may hold a
+# thousand short ones, and readiness checks are answered without a wait.
+MAX_REQUESTS_PER_TURN = 8
 MAX_PIPELINED = 16  # requests in flight per connection; one more is answered with 429
 # From the start of the connection, or the first byte of a request, to its last byte. Clients that only open
 # connections may be closed after 2 s, and those that send no complete request must be closed within 3 s.
@@ -475,7 +478,7 @@
         its request. The cost: clients that send slowly on purpose keep their places for that moment.
         """
         oldest_partial = None
-        for client in chain(self._silent, self._idle):
+        for client in itertools.chain(self._silent, self._idle):
             if client.close_if_idle(CloseReason.EVICTED):
                 return True
             if oldest_partial is None and client.unfinished:
@@ -493,7 +496,7 @@
         """
         spare = int(self._max_active * IDLE_SHED_SHARE) - (len(self._clients) - len(self._silent))
         now = time.monotonic()
-        for client in [*islice(self._idle, max(0, -spare))]:
+        for client in [*itertools.islice(self._idle, max(0, -spare))]:
             if client.idle_s(now) < MIN_IDLE_S:
                 return
             client.close_if_idle(CloseReason.CROWDED)
@@ -745,7 +748,9 @@
     # Requests
 
     async def _read_requests(self) -> None:
-        while True:
+        for count in itertools.count(1):
+            if count % MAX_REQUESTS_PER_TURN == 0 and self._unparsed:
+                await asyncio.sleep(0)
             parser: h11.Connection | None = None
             try:
                 at = await self._read_until_head()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -9,6 +9,7 @@
 import socket
 import time
 import weakref
+from typing import Any
 
 import pytest
 
@@ -293,6 +294,36 @@
         assert (await client.answer())[0] == 200
 
 
+# Guards against other clients that wait while one sends readiness checks at full speed on one connection.
+@pytest.mark.parametrize("more", ["", "TE: x\r\n"])
+@async_test
+async def test_many_short_requests_of_one_read_do_not_block_the_event_loop(
+    more: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    answer_text = listener._Client._enqueue_text
+    answered_in_turns = [0]
+
+    def counting(*arguments: Any) -> None:
+        answered_in_turns[-1] += 1
+        answer_text(*arguments)
+
+    async def count_turns() -> None:
+        while True:
+            await asyncio.sleep(0)
+            answered_in_turns.append(0)
+
+    monkeypatch.setattr(listener._Client, "_enqueue_text", counting)
+    async with running_agent() as made:
+        client = await made.client()
+        check = f"GET /health/ready HTTP/1.1\r\nHost: a\r\n{more}\r\n".encode()
+        count = 65_536 // len(check)
+        turns = asyncio.create_task(count_turns())
+        client.send(check * count)
+        assert [(await client.answer())[0] for _ in range(count)] == [200] * count
+        turns.cancel()
+        assert max(answered_in_turns) <= listener.MAX_REQUESTS_PER_TURN
+
+
 def test_a_client_that_sends_endlessly_does_not_block_the_agent() -> None:
     """Input after the last request is discarded up to a limit, and the event loop serves others meanwhile."""
 
