Count the fields of heads in the memory budget, and take 256 of them at most

Change: more than 256 fields are rejected (431) before they are parsed, an answer with more is malformed. The fields past the usual 32, and the bytes of a head past 4 KiB, are held in the budget until the request is answered; without room the request is refused (503, nothing ran). The fields of an answer are freed when its head is written.

--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -27,6 +27,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import asdict, dataclass
 from pathlib import Path
+from typing import Any
 
 from benchmarks.request_cpu import cpu_us
 from sorrelfront.lab.http1 import make_config, member
@@ -47,24 +48,27 @@
 CHUNK = bytes(4_000)
 CHUNKS = 16  # of a body
 LONG_HEAD_BYTES = 15_000
+SHORT_FIELD = "a:b\r\n"
+MANY_FIELDS = 2_900  # so many short ones make a head of nearly 16 KiB
+MOST_FIELDS = 240  # of a head that is taken
 HALF_ANSWER_S = 0.25  # between the halves of an answer in chunks
 RETRY_S = 0.5  # after an answer other than 200
 
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
-def request(name: str, body: bytes, length: int | None = None, **headers: object) -> bytes:
-    """Return a keyed request; `headers` tell the server what to do (`serve`)."""
+def request(name: str, body: bytes, length: int | None = None, *, more: str = "", **headers: Any) -> bytes:
+    """Return a keyed request; `more` are header lines, and `headers` tell the server what to do (`serve`)."""
     lines = [
         "POST /book HTTP/1.1", "Host: app", f"X-Call-Id: {name}", f"Idempotency-Key: k-{name}",
         f"X-Budget: {int(USUAL_BUDGET_S * 1_000)}m",
         f"Content-Length: {len(body) if length is None else length}",
         *(f"X-Do-{key.capitalize()}: {value}" for key, value in headers.items()),
     ]  # fmt: skip
-    return "\r\n".join([*lines, "", ""]).encode() + body
+    return ("\r\n".join([*lines, ""]) + more + "\r\n").encode() + body
 
 
-def chunked_request(name: str, body: bytes, **headers: object) -> bytes:
+def chunked_request(name: str, body: bytes, **headers: Any) -> bytes:
     """Return a keyed request with an encoded body."""
     head = request(name, b"", None, **headers).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
     return head + body
@@ -128,7 +132,7 @@
     """Answer requests one after another, as their X-Do headers say.
 
     `read`: seconds between pieces of the body; `wait`: seconds before the answer; `answer`: its length in
-    bytes; `halt`: seconds in the middle of it; `chunks`: how many chunks it has.
+    bytes; `halt`: seconds in the middle of it; `chunks`: how many chunks it has; `fields`: of its head.
     """
     try:
         while True:
@@ -141,7 +145,10 @@
             body = bytes(int(headers.get("x-do-answer", "100")))
             halt_s = float(headers.get("x-do-halt", "0"))
             first = len(body) // 2 if halt_s else len(body)
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body[:first])
+            more = SHORT_FIELD.encode() * int(headers.get("x-do-fields", "0"))
+            writer.write(
+                b"HTTP/1.1 200 OK\r\n%bContent-Length: %d\r\n\r\n" % (more, len(body)) + body[:first]
+            )
             await asyncio.sleep(halt_s)
             writer.write(body[first:])
             await writer.drain()
@@ -271,6 +278,38 @@
         data = request(self.name(), b"").removesuffix(b"\r\n") + b"X-Long: "
         await self.exchange(connection, data + b"h" * LONG_HEAD_BYTES)
 
+    async def fields(self, connection: Connection) -> None:
+        """Send a head of very many short fields."""
+        await self.exchange(connection, request(self.name(), b"", more=SHORT_FIELD * MANY_FIELDS, wait=0.6))
+
+    async def most_fields(self, connection: Connection) -> None:
+        """Send a head with as many fields as are taken, of the greatest length, that is not plain."""
+        more = "TE: x\r\n" + f"a:{'b' * 50}\r\n" * MOST_FIELDS
+        await self.exchange(connection, request(self.name(), b"", more=more, wait=0.6))
+
+    async def half_fields(self, connection: Connection) -> None:
+        """Send most of a head of very many short fields, and stop."""
+        data = request(self.name(), b"", more=SHORT_FIELD * MANY_FIELDS)
+        await self.exchange(connection, data.removesuffix(b"\r\n"))
+
+    async def answer_fields(self, connection: Connection) -> None:
+        """Get an answer with very many short fields, whose body comes later."""
+        data = request(self.name(), b"", answer=64_000, halt=0.6, fields=MANY_FIELDS)
+        await self.exchange(connection, data)
+
+    async def answer_most_fields(self, connection: Connection) -> None:
+        """Get an answer with as many fields as are taken, whose body comes later."""
+        data = request(self.name(), b"", answer=64_000, halt=0.6, fields=MOST_FIELDS)
+        await self.exchange(connection, data)
+
+    async def dribble(self, connection: Connection) -> None:
+        """Write a long body slowly, but fast enough to be waited for."""
+        data = request(self.name(), bytes(60_000), wait=0.6)
+        for start in range(0, len(data), 2_000):
+            connection[1].write(data[start : start + 2_000])
+            await asyncio.sleep(0.06)
+        await self.exchange(connection, b"")
+
     async def unread(self, connection: Connection) -> None:
         """Send a body to a server that reads it too slowly."""
         await self.exchange(connection, request(self.name(), bytes(64_000), read=1.0))
@@ -309,7 +348,10 @@
     "none": (), "bodies": ("bodies",), "stalled": ("stalled",), "answers": ("answers",),
     "halves": ("halves",), "slow": ("slow",), "pipelined": ("pipelined",), "uploads": ("uploads",),
     "chunked": ("chunked",), "trailers": ("trailers",), "heads": ("heads",),
-    "heap": ("heap",), "unread": ("unread",), "mixed": ("stalled", "answers", "slow", "bodies"),
+    "heap": ("heap",), "unread": ("unread",), "fields": ("fields",), "most_fields": ("most_fields",),
+    "half_fields": ("half_fields",), "answer_fields": ("answer_fields",),
+    "answer_most_fields": ("answer_most_fields",), "dribble": ("dribble",),
+    "mixed": ("stalled", "answers", "slow", "bodies"),
 }  # fmt: skip
 SMALL_BUFFERS = ("slow",)
 
--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -35,8 +35,17 @@
     Descriptors,
     MemoryBudget,
     MemoryShare,
+    head_bytes,
+)
+from sorrelfront.net.heads import (
+    HEAD_END,
+    MAX_FIELDS,
+    MAX_HEAD_BYTES,
+    RequestHead,
+    count_fields,
+    frame_message,
+    request_head,
 )
-from sorrelfront.net.heads import HEAD_END, MAX_HEAD_BYTES, RequestHead, frame_message, request_head
 from sorrelfront.net.http import (
     MAX_CHUNKS_PER_TURN,
     SOCKET_BUFFER_BYTES,
@@ -755,6 +764,8 @@
             try:
                 at = await self._read_until_head()
                 plain = request_head(self._unparsed[:at]) if at else None
+                if plain is None and count_fields(self._unparsed[:at]) > MAX_FIELDS:
+                    raise BadRequest(431, "the head has too many fields")
                 if plain is not None:
                     last = await self._read_plain(plain, at)
                 else:
@@ -825,6 +836,7 @@
         if head.length > MAX_STREAMED_BODY or (call is None and head.length > MAX_BUFFERED_BODY):
             raise BadRequest(413, "the body is too long")
         incoming = self._begin_body(call, head.length)
+        self._add_head(incoming.share, head_bytes(at, len(head.headers)))
         self._set_unparsed(self._unparsed[at:])
         incoming.add(self._split_unparsed(head.length))
         while len(incoming.data) < min(head.length, MAX_BUFFERED_BODY):
@@ -855,6 +867,17 @@
         if self._pending and not self._memory.has_request_room():
             raise BadRequest(503, "no room for a request behind requests that wait", RejectReason.NO_ROOM)
 
+    def _add_head(self, share: MemoryShare, size: int) -> None:
+        """Account for a head that is larger than usual, which is held until its request is answered.
+
+        Raises BadRequest if there is no room for it.
+        """
+        if not size:
+            return
+        if not self._memory.has_request_room(size):
+            raise BadRequest(503, "no room for so large a head", RejectReason.NO_ROOM)
+        share.add(size)
+
     def _begin_body(self, call: Call | None, length: int | None) -> _IncomingBody:
         """Begin to read a body into the call; that of a readiness check (None) is read and dropped."""
         data = bytearray() if call is None else call.payload.body
@@ -1004,6 +1027,8 @@
             return False
         if head.length > MAX_BUFFERED_BODY or path_of(head) == READY_PATH:
             return False
+        if head_bytes(found.end(), len(head.headers)):
+            return False
         try:
             call = parse_call(head, self._agent)
         except BadRequest:
@@ -1037,6 +1062,9 @@
             if any(length > (MAX_STREAMED_BODY if call else MAX_BUFFERED_BODY) for length in lengths):
                 raise BadRequest(413, "the body is too long")
             incoming = self._begin_body(call, lengths[0] if lengths else None)
+            headers = list(head.headers)
+            size = sum(len(name) + len(value) for name, value in headers)
+            self._add_head(incoming.share, head_bytes(size, len(headers)))
             whole = await self._read_body(parser, incoming, call)
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
@@ -1266,7 +1294,7 @@
         if self._writer is not None or not self._pending or self._pending[0] is not pending:
             answer = pending.answer.result()
             if isinstance(answer, Answer):
-                self._hold_answer(pending, len(answer.body))
+                self._hold_answer(pending, len(answer.body) + head_bytes(0, len(answer.headers)))
         self._flush()
 
     def _hold_answer(self, pending: _PendingAnswer, count: int) -> None:
@@ -1394,6 +1422,7 @@
         headers = _answer_headers(answer, close, pending.parser is None)
         stream = answer.stream
         body, answer.body = answer.body, b""
+        answer.headers = []  # the answer stays until its last byte is sent
         if pending.parser is None:
             start = b"HTTP/1.1 %d \r\n" % answer.status
             return frame_message(start, headers, body), close, stream
--- a/sorrelfront/net/budget.py
+++ b/sorrelfront/net/budget.py
@@ -27,9 +27,16 @@
 MAX_REQUEST_SHARE = 0.75
 MAX_ANSWER_SHARE = 0.5
 MAX_STREAM_SHARE = 0.25  # of answers, up to which a streamed one is read in pieces of RECEIVE_BYTES
+USUAL_FIELDS = 32  # header fields of a message that SOCKET_BYTES covers, as it does SMALL_BODY bytes of them
+FIELD_BYTES = 200  # objects of a further one: two strings, a tuple and its place in lists
 PIPELINED_REQUEST_BYTES = 8 * 1024  # objects of a request behind another one on its connection
 
 
+def head_bytes(size: int, fields: int) -> int:
+    """Return how many bytes a head of this size and with so many fields is counted as; usual ones as none."""
+    return max(0, size - SMALL_BODY) + max(0, fields - USUAL_FIELDS) * FIELD_BYTES
+
+
 class Descriptors:
     """Limits on the sockets of clients and of backends, each with a share of its own.
 
--- a/sorrelfront/net/heads.py
+++ b/sorrelfront/net/heads.py
@@ -18,6 +18,8 @@
 from sorrelfront.messages import Headers
 
 MAX_HEAD_BYTES = 16_384  # bytes; usual heads have hundreds, and a hostile one has no end
+# Header fields of a message; usual ones have ten. Each takes some 200 bytes of memory, however short it is.
+MAX_FIELDS = 256
 HEAD_END = re.compile(rb"\n\r?\n")  # as h11 finds it; a plain head ends with CR LF CR LF
 TARGET = re.compile(rb"[!-~]+")
 LENGTH = re.compile(rb"[0-9]{1,9}")
@@ -78,6 +80,11 @@
     )
 
 
+def count_fields(head: bytes) -> int:
+    """Return how many fields a head has that begins with its start line and ends with the empty line."""
+    return head.count(b"\n") - 2
+
+
 def _parse_framing(headers: Headers) -> tuple[int | None, bool] | None:
     """Return the length, if one is given, and whether the connection ends; None if this is not plain."""
     length: int | None = None
@@ -106,7 +113,7 @@
 
 def request_head(head: bytes) -> RequestHead | None:
     """Parse the head of a request, which ends with an empty line. Returns None if it is not plain."""
-    if len(head) > MAX_HEAD_BYTES or not _has_plain_lines(head):
+    if len(head) > MAX_HEAD_BYTES or count_fields(head) > MAX_FIELDS or not _has_plain_lines(head):
         return None
     collector = _HeadCollector()
     parser = httptools.HttpRequestParser(collector)
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -28,11 +28,21 @@
     MAX_BUFFERED_BODY,
     MAX_STREAMED_BODY,
     SMALL_BODY,
+    USUAL_FIELDS,
     AnswerShare,
     Descriptors,
     MemoryBudget,
+    head_bytes,
+)
+from sorrelfront.net.heads import (
+    HEAD_END,
+    MAX_FIELDS,
+    MAX_HEAD_BYTES,
+    AnswerHead,
+    answer_head,
+    count_fields,
+    frame_message,
 )
-from sorrelfront.net.heads import HEAD_END, MAX_HEAD_BYTES, AnswerHead, answer_head, frame_message
 from sorrelfront.net.http import (
     MAX_CHUNKS_PER_TURN,
     SEND_BYTES,
@@ -1079,7 +1089,13 @@
         found = HEAD_END.search(data, self._scanned)
         if found is not None:
             self._body_start = found.end()
-            self._head = answer_head(bytes(data[: self._body_start]))
+            head = bytes(data[: self._body_start])
+            fields = count_fields(head)
+            if fields > MAX_FIELDS:
+                raise InvalidAnswer(AnswerFault.TOO_LONG, "the head of the answer has too many fields")
+            if fields > USUAL_FIELDS:
+                self._share.hold(head_bytes(0, fields))
+            self._head = answer_head(head)
             if self._head is not None:
                 return True
         elif not self.eof and len(data) <= MAX_HEAD_BYTES and data[0] >= 0x21:
--- a/tests/programs/test_memory_limit.py
+++ b/tests/programs/test_memory_limit.py
@@ -10,7 +10,19 @@
 from tests.test_process import ROOT
 
 
-@pytest.mark.parametrize("load", ["answers", "stalled", "pipelined", "chunked"])
+@pytest.mark.parametrize(
+    "load",
+    [
+        "answers",
+        "stalled",
+        "pipelined",
+        "chunked",
+        "fields",
+        "most_fields",
+        "answer_fields",
+        "answer_most_fields",
+    ],
+)
 def test_the_program_stays_under_its_memory_limit(load: str) -> None:
     """Guards against an agent that is killed for its memory: 32 MB, and as many clients as may come."""
     measured = asyncio.run(measure(Setup(32, 512, load, 3.0, str(ROOT))))
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -25,6 +25,7 @@
 MALFORMED = {
     "noise": b"\x00\xff\x16 no answer at all\r\n\r\n",
     "a flood of a head": b"HTTP/1.1 200 OK\r\n" + b"X-Filler: yes\r\n" * 5_000,
+    "very many fields": OK.replace(b"Content", b"a:b\r\n" * 300 + b"Content"),
     "two lengths": OK.replace(b"Content", b"Transfer-Encoding: chunked\r\nContent"),
     "3 GB": b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + bytes(50_000),
     "1xx without end": b"HTTP/1.1 103 Early Hints\r\n\r\n" * 50,
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -294,6 +294,35 @@
         assert (await client.answer())[0] == 200
 
 
+# Guards against a process that goes over its memory limit when many clients send heads of many short fields.
+@pytest.mark.parametrize("more", ["", "TE: x\r\n"])
+@async_test
+async def test_a_head_with_very_many_fields_is_rejected_and_one_with_many_is_counted(more: str) -> None:
+    go, script = gated_script(OK)
+    backend = await Backend(script).start()
+    async with running_agent(backend) as made:
+        client, other = await made.client(), await made.client()
+        client.send(request("very-many", "pay", b"x", more=more + "a:b\r\n" * 300))
+        assert (await client.answer())[0] == 431
+        other.send(request("many", "pay", b"x", more=more + "a:b\r\n" * 200))
+        await until(lambda: len(backend.received) == 1)
+        assert made.upstream.memory.requests_held > 200 * 150
+        go.set()
+        assert (await other.answer())[0] == 200
+        assert made.upstream.memory.held == 0 and b"x-call-id: many" in backend.received[0].lower()
+
+
+@async_test
+async def test_a_head_with_many_fields_is_refused_without_memory_for_it() -> None:
+    backend = await Backend(OK).start()
+    async with running_agent(backend) as made:
+        made.listener.memory.max_bytes = 1
+        client = await made.client()
+        client.send(request("many", "pay", b"x", more="a:b\r\n" * 200))
+        assert (await client.answer())[0] == 503
+        assert backend.received == [] and made.upstream.memory.held == 0
+
+
 # Guards against other clients that wait while one sends readiness checks at full speed on one connection.
 @pytest.mark.parametrize("more", ["", "TE: x\r\n"])
 @async_test
