--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -821,16 +821,19 @@
         parser: h11.Connection | None,
         body: bytes,
         share: AnswerShare,
+        paused_since: float = 0.0,
     ) -> None:
         """Continue an answer whose first bytes are in `body`, and are held by `share`.
 
         `parser` is the h11 parser of the answer, or None for a plain answer, whose `length` is known.
+        `paused_since` is when the last bytes came, in monotonic seconds, if none have come for a while.
         """
         self.length = length
         # None once closed. The reader leads to the request, whose answer leads here: such a reference cycle
         # would keep the bodies of both until the garbage collector comes.
         self._reader: _AnswerReader | None = reader
         self._pace = AnswerPace(longest_s=reader.longest_pause_s)
+        self._paused_since = paused_since  # monotonic seconds; 0: not before the next read
         self._wire = wire
         self._share = share
         share.streamed = True
@@ -903,9 +906,13 @@
             self._share.hold(len(self._parser.trailing_data[0]))
         if self._reader is None:
             raise TruncatedAnswer(AnswerFault.CANCELLED, "the answer was closed while it was read")
-        began, left_s = time.monotonic(), self._reader.left_s()
-        data = await self._wire.receive(self._pace.limit_s(left_s))
-        self._pace.paused(time.monotonic() - began, left_s, len(data))
+        now = time.monotonic()
+        # The first pause may have begun before the answer was passed on. Later ones begin with the read: what
+        # the server has sent may have waited for the client until then.
+        paused_s, self._paused_since = now - (self._paused_since or now), 0.0
+        left_s = self._reader.left_s()
+        data = await self._wire.receive(self._pace.limit_s(left_s, paused_s))
+        self._pace.paused(time.monotonic() - now + paused_s, left_s + paused_s, len(data))
         self._share.hold(len(data))
         if data and self._reader is not None:
             self._reader.note_received()
@@ -1049,7 +1056,7 @@
         """
         if self._h11 is None or self._response is None or self._length is not None or not self._body:
             return None
-        return self._stream_h11(self._h11, self._response)
+        return self._stream_h11(self._h11, self._response, self._last_byte_at)
 
     def feed(self, data: bytes) -> None:
         """Add received data; empty data is the end of the connection. Raises _UnexpectedData."""
@@ -1185,10 +1192,12 @@
             else:
                 raise InvalidAnswer(AnswerFault.TRUNCATED, "the answer is truncated")
 
-    def _stream_h11(self, parser: h11.Connection, response: h11.Response) -> AttemptResult:
+    def _stream_h11(
+        self, parser: h11.Connection, response: h11.Response, paused_since: float = 0.0
+    ) -> AttemptResult:
         """Begin to stream an answer that h11 parses."""
         body, self._body = bytes(self._body), bytearray()
-        download = _Download(self, self.wire, self._length, parser, body, self._share)
+        download = _Download(self, self.wire, self._length, parser, body, self._share, paused_since)
         return AttemptResult(Outcome.OK, Answer(200, end_to_end(response.headers), b"", download))
 
     def _on_informational(self, parser: h11.Connection, event: object) -> None:
--- a/sorrelfront/upstreams/pace.py
+++ b/sorrelfront/upstreams/pace.py
@@ -26,11 +26,14 @@
     longest_s: float = 0.0
     late_s: float = 0.0  # waited past the client's time
 
-    def limit_s(self, left_s: float) -> float:
-        """Return how long a pause that begins now may last, with `left_s` left of the client's time."""
+    def limit_s(self, left_s: float, paused_s: float = 0.0) -> float:
+        """Return for how many seconds from now a pause may last.
+
+        `left_s` of the client's time are left, and the pause has lasted for `paused_s` so far.
+        """
         late_left_s = MAX_LATE_WAIT_S + self.received / MIN_LATE_RATE - self.late_s
         usual_s = min(MAX_PAUSE_S, max(MIN_PAUSE_S, PAUSE_FACTOR * self.longest_s))
-        late_pause_s = max(LATE_S, usual_s - max(0.0, left_s))
+        late_pause_s = max(LATE_S, usual_s - paused_s - max(0.0, left_s))
         return max(0.0, left_s) + max(0.0, min(late_pause_s, late_left_s))
 
     def paused(self, seconds: float, left_s: float, received: int) -> None:
--- a/tests/upstreams/test_pace.py
+++ b/tests/upstreams/test_pace.py
@@ -25,6 +25,12 @@
     assert pace.limit_s(-0.5) == MAX_PAUSE_S
 
 
+def test_what_an_answer_has_paused_already_counts() -> None:
+    """Guards against a hung answer that is given a whole pause more as it is passed on."""
+    assert AnswerPace().limit_s(0.0, paused_s=2.0) == LATE_S
+    assert AnswerPace().limit_s(0.0, paused_s=0.2) == pytest.approx(MIN_PAUSE_S - 0.2)
+
+
 def test_a_server_that_trickles_past_the_clients_time_is_given_up() -> None:
     """Guards against an answer without an end that holds its client for as long as it likes."""
     pace = AnswerPace(longest_s=1.0)
