Reset a connection that closes while an answer is passed on

A client of HTTP/1.1 sees that length or chunks are missing; for one of HTTP/1.0 the close is the end of an answer without a length, and part of it looked whole.

Change: _Client._finish resets the connection if an answer is being written.

Test: an answer in progress is reset when its connection is closed; an orderly end before.

--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -726,7 +726,8 @@
         self._pending.clear()
         if not self.wire.closed:
             self._agent.events.add(Event.CLOSED, self._close_reason())
-        self.wire.close(self._abort is not None)
+        # An answer that ends here is not whole, and to an HTTP/1.0 client the close may be its only end.
+        self.wire.close(abort=self._abort is not None or writer is not None)
         self._listener.closed(self)
 
     def _drop_incoming(self) -> None:
--- a/tests/net/test_long_bodies.py
+++ b/tests/net/test_long_bodies.py
@@ -604,6 +604,22 @@
         assert made.upstream.open_connections == 0
 
 
+# Guards against part of an answer that looks whole: to an HTTP/1.0 client its only end is the close.
+@async_test
+async def test_an_answer_in_progress_is_reset_when_its_connection_is_closed() -> None:
+    reply = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(LONG, 9_000)[:300_000]
+    server = await Server(reply=reply).start()
+    async with world_of(server) as made:
+        client = await made.client()
+        client.send(request("r").replace(b"HTTP/1.1", b"HTTP/1.0"))
+        await client.head()
+        await client.reader.readexactly(100_000)
+        (connection,) = made.listener._clients
+        connection.cancel()  # as at the end of the process
+        with pytest.raises(ConnectionResetError):
+            await asyncio.wait_for(client.reader.read(-1), WAIT_TIMEOUT_S)
+
+
 def test_a_stream_whose_writer_never_started_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     """The client disconnects in the event loop step in which its answer arrives."""
     flush = front._Client._flush
