Look once at the id of a request that is taken in the callback that read it

Found by the test of daemons' instances that exchange ids: a client's connection got no answer. _take_complete looked at the id and found it new, and _take looked again; between the two looks another process had told of the id, and the rejection was raised in a callback of the event loop, where nobody answers it.

Change: the second look is left out on that path, which has no wait in between. Whichever of two processes sends first is decided by the claim that follows.

Test: an id that becomes known as its request is taken; no answer before.

--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -1046,7 +1046,7 @@
         # This runs in a callback of the event loop, where the exception must not escape. The end of stream is
         # still unread, and closes the connection next.
         with contextlib.suppress(_Disconnected):
-            self._take(None, call, share, False)
+            self._take(None, call, share, False, checked=True)
         return True
 
     async def _read_with_h11(self, parser: h11.Connection) -> bool:
@@ -1122,6 +1122,7 @@
         share: MemoryShare,
         last: bool,
         length: int | None = -1,
+        checked: bool = False,
     ) -> Upload | None:
         """Accept a request: a call, or a readiness check (`call` is None).
 
@@ -1131,6 +1132,7 @@
             share: What the body holds of the memory budget.
             last: Whether the connection closes after this request.
             length: -1 if the body is complete. Otherwise the length of the streamed body, None if unknown.
+            checked: Whether the id of the call has just been looked at.
 
         Returns:
             Where the rest of a streamed body goes, None for a complete one.
@@ -1143,7 +1145,7 @@
         self._partial = False
         waited_us, self.waited_us = self.waited_us, 0
         share.complete()
-        if call is not None and self._agent.has_seen(call):
+        if call is not None and not checked and self._agent.has_seen(call):
             # Where requests are distinguished by id, one of the two would be mistaken for the other. And what
             # has run under an id must not run again, whoever sends it.
             share.release()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -102,6 +102,22 @@
         assert len(backend.received) == 2
 
 
+# Guards against a client that gets no answer when another process tells of its id between two looks at it.
+@async_test
+async def test_an_id_that_becomes_known_as_its_request_is_taken_is_looked_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    wrong: list[str] = []
+    asyncio.get_running_loop().set_exception_handler(lambda _, context: wrong.append(str(context)))
+    backend = await Backend(OK).start()
+    async with running_agent(backend) as made:
+        looks = iter([False])
+        monkeypatch.setattr(made.agent, "has_seen", lambda call: next(looks, True))
+        client = await made.client()
+        client.send(request("one", "pay", b"x"))
+        assert (await client.answer())[0] == 200 and not wrong
+
+
 @async_test
 async def test_an_id_whose_attempts_never_ran_may_come_again() -> None:
     refusals = iter([answer(b"", "503 Busy", "X-Rejected: 1\r\n")] * 3)
