Send ids as plain text, not as JSON, between the versions of an upgrade

What is unsent is bounded by what the other end remembers, and what was known already is not passed on.

--- a/sorrelfront/decisions/request_ids.py
+++ b/sorrelfront/decisions/request_ids.py
@@ -31,11 +31,13 @@
     """The ids of one process, bounded in number."""
 
     def __init__(self, max_ids: int) -> None:
+        self.max_ids = max_ids
         self._max_generation = max(1, max_ids // 2)
         self._newer: set[bytes] = set()
         self._older: set[bytes] = set()
         self._told: set[bytes] = set()  # of these, which came from another process, newer generation only
         self._others: list[OtherProcess] = []
+        self.passes_on = True  # what one process tells, to the others; not needed if each is told by each
 
     def __len__(self) -> int:
         return len(self._newer) + len(self._older)
@@ -56,16 +58,17 @@
 
     def known(self, request_id: bytes) -> bool:
         """Return whether a request with this id may have run, here or at another process."""
-        for other in self._others:
+        for other in tuple(self._others):  # one that has ended leaves the list
             other.listen()
         return request_id in self._newer or request_id in self._older
 
     def claim(self, request_id: bytes) -> bool:
         """Note that a request is about to be sent; return False if another process sent one with this id."""
         self._add(request_id)
-        for other in self._others:
+        others = tuple(self._others)  # one that has ended leaves the list
+        for other in others:
             other.tell(request_id)
-        for other in self._others:
+        for other in others:
             other.listen()
         return request_id not in self._told
 
@@ -76,9 +79,12 @@
             self._older.discard(request_id)
 
     def add_told(self, request_id: bytes, by: OtherProcess) -> None:
-        """Note an id that another process has told of, and pass it on to further ones."""
+        """Note an id that another process has told of, and pass it on to further ones if it is new."""
+        known = request_id in self._newer or request_id in self._older
         self._add(request_id)
         self._told.add(request_id)
+        if known or not self.passes_on:
+            return
         for other in self._others:
             if other is not by:
                 other.tell(request_id)
--- a/sorrelfront/platform/id_exchange.py
+++ b/sorrelfront/platform/id_exchange.py
@@ -2,13 +2,12 @@
 
 Each tells the other of the ids of its requests with an effect (`decisions/request_ids.py`), over the
 connection of `upgrade.py`. What is told lies in the connection's queue from the moment `tell` returns, unless
-that queue is full: then it is kept here, MAX_UNSENT_IDS at most, and sent as there is room.
+that queue is full: then it is kept here, as many as are remembered at most, and sent as there is room.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import logging
 import socket
@@ -21,8 +20,7 @@
 log = logging.getLogger(__name__)
 
 MAX_MESSAGE_BYTES = 4_096
-MAX_IDS_BYTES = 4_000  # of the ids in one message
-MAX_UNSENT_IDS = 65_536  # the most that two generations of ids may be
+IDS = b"ids "  # begins a message of ids, which are tokens of visible characters, with a blank between them
 
 
 def decode(data: bytes) -> dict[str, Any]:
@@ -49,7 +47,7 @@
         self._ids = ids
         self._on_message = on_message
         self._loop = asyncio.get_running_loop()
-        self._unsent: deque[bytes] = deque(ids, MAX_UNSENT_IDS)
+        self._unsent: deque[bytes] = deque(ids, ids.max_ids)  # the other version remembers no more
         self._writing = False
         self._ended = False
         channel.setblocking(False)
@@ -75,12 +73,11 @@
                 self.close()
                 self._loop.call_soon(self._on_message, None)
                 return
-            message = decode(data)
-            ids = message.get("ids")
-            if isinstance(ids, list):
-                self._add_ids(ids)
+            if data.startswith(IDS):
+                for request_id in data[len(IDS) :].split(b" "):
+                    self._ids.add_told(request_id, self)
             else:
-                self._loop.call_soon(self._on_message, message)
+                self._loop.call_soon(self._on_message, decode(data))
 
     def close(self) -> None:
         """Exchange no more ids. The connection itself stays open."""
@@ -93,19 +90,12 @@
             self._loop.remove_writer(self._channel.fileno())
         self._unsent.clear()
 
-    def _add_ids(self, ids: list[Any]) -> None:
-        for one in ids:
-            if isinstance(one, str):
-                with contextlib.suppress(UnicodeEncodeError):
-                    self._ids.add_told(one.encode("latin-1"), self)
-
     def _flush(self) -> None:
         """Send what is unsent as far as the connection takes it; the rest as it has room."""
         while self._unsent and not self._ended:
             batch = [*self._next_batch()]
-            message = json.dumps({"ids": [one.decode("latin-1") for one in batch]}).encode()
             try:
-                self._channel.send(message)
+                self._channel.send(IDS + b" ".join(batch))
             except (BlockingIOError, InterruptedError):
                 break
             except OSError:
@@ -117,8 +107,8 @@
     def _next_batch(self) -> Iterator[bytes]:
         size = 0
         for one in self._unsent:
-            size += 2 * len(one) + 4  # JSON writes each quote or backslash as two bytes
-            if size > MAX_IDS_BYTES:
+            size += len(one) + 1
+            if size > MAX_MESSAGE_BYTES - len(IDS):
                 return
             yield one
 
--- a/sorrelfront/platform/upgrade.py
+++ b/sorrelfront/platform/upgrade.py
@@ -9,8 +9,8 @@
     current -> next   hello, once, with the socket: {"version": 1, "listen": [host, port]}
     current -> next   every REPORT_INTERVAL_S: {"open": descriptors that it still needs}
     next -> current   {"ready": true}
-    both ways         {"ids": [id, ...]}: of requests with an effect that the sender has sent to a server,
-                      or is about to; a version that does not know this message ignores it
+    both ways         ids ID ID ...: of requests with an effect that the sender has sent to a server, or is
+                      about to; a version that does not know this message ignores it
     the end of the connection: that process has ended
 
 Both versions together may use no more descriptors and memory than one. Until the connection ends each takes
