Exchange the ids of sent requests between all instances of a daemon and its successor

Weighed: a table in shared memory (no cost a request, but a lock or a race for each), one message for many ids (two instances could send one id at once).

--- a/sorrelfront/daemon/instance.py
+++ b/sorrelfront/daemon/instance.py
@@ -28,6 +28,7 @@
 from sorrelfront.daemon import logs
 from sorrelfront.daemon.channel import BadMessage, Message, receive, send
 from sorrelfront.daemon.fleet_membership import FleetMembership
+from sorrelfront.daemon.instance_ids import InstanceIds
 from sorrelfront.daemon.instance_socket import InstanceSocket
 from sorrelfront.daemon.processes import start_ticks
 from sorrelfront.decisions import seat_allocation
@@ -101,8 +102,10 @@
         self._orphan_s = 0.0
         self._orphan_timer: asyncio.TimerHandle | None = None
         self._adoption_socket = InstanceSocket(
-            folder, name, self._hello_message, self._accept_supervisor, self._on_sockets_taken
-        )
+            folder, name, self._hello_message, self._accept_supervisor, self._on_sockets_taken,
+            self._accept_ids,
+        )  # fmt: skip
+        self._instance_ids: InstanceIds | None = None
         self._agent: Agent | None = None
         self._table: Message = {}
         self._config: Config | None = None
@@ -208,6 +211,13 @@
         log.info("another supervisor has taken over")
         return None
 
+    def _accept_ids(self, connection: socket.socket) -> None:
+        """Exchange request ids with another instance; before this one has an agent, it connects itself."""
+        if self._instance_ids is None:
+            connection.close()
+        else:
+            self._instance_ids.add(connection)
+
     # Messages of the supervisor
 
     def _on_readable(self) -> None:
@@ -325,6 +335,8 @@
         else:
             self._agent = Agent(config, upstream, self._create_source)
         self._config = config
+        self._agent.request_ids.passes_on = False  # every instance is told by each
+        self._instance_ids = InstanceIds(self._agent.request_ids, self._adoption_socket.path)
         self._agent.start()
         if table.get("fleet") is not None:
             self._fleet_member = FleetMembership(table["fleet"])
@@ -584,6 +596,8 @@
     def close_adoption_socket(self) -> None:
         """Close the adoption socket, the last step."""
         self._adoption_socket.close()
+        if self._instance_ids is not None:
+            self._instance_ids.close()
 
 
 async def run(channel: socket.socket, name: str, number: int, folder: Path) -> None:
--- a/sorrelfront/daemon/instance_socket.py
+++ b/sorrelfront/daemon/instance_socket.py
@@ -3,7 +3,7 @@
 It is a Unix socket (SOCK_SEQPACKET, mode 0600) for the instance's own user and root, as the kernel reports
 them. A client may send `hello` and receives a description of the instance and its listening sockets. `adopt`
 makes the connection the instance's channel; `others` tells an instance that is leaving that another process
-now has its sockets. No other message changes anything.
+now has its sockets; `ids` is another instance that exchanges request ids. No other message changes anything.
 """
 
 from __future__ import annotations
@@ -30,23 +30,31 @@
 
 HelloHandler = Callable[[], tuple[Message, list[int]]]
 AdoptHandler = Callable[[Message, socket.socket], str | None]
+IdsHandler = Callable[[socket.socket], None]
 
 
 class InstanceSocket:
     """Listens in the run folder as NAME-PID.sock.
 
     `adopt` receives the message and the connection, and returns the reason of a refusal, or None if it now
-    owns the connection.
+    owns the connection. `ids` owns the connection that it receives.
     """
 
     def __init__(
-        self, folder: Path, name: str, hello: HelloHandler, adopt: AdoptHandler, others: Callable[[], None]
+        self,
+        folder: Path,
+        name: str,
+        hello: HelloHandler,
+        adopt: AdoptHandler,
+        others: Callable[[], None],
+        ids: IdsHandler,
     ) -> None:
         """Create the socket and accept connections. Raises OSError."""
         self.path = folder / f"{name}-{os.getpid()}.sock"
         self._hello = hello
         self._adopt = adopt
         self._others = others
+        self._ids = ids
         self._connections: dict[socket.socket, asyncio.TimerHandle] = {}
         self._loop = asyncio.get_running_loop()
         self.path.unlink(missing_ok=True)  # left by an earlier process with the same id
@@ -108,6 +116,9 @@
                 send(connection, answer, sockets)
             case "others":
                 self._others()
+            case "ids":
+                self._release(connection)
+                self._ids(connection)
             case "adopt":
                 why = self._adopt(message, connection)
                 send(connection, {"op": "adopted", "id": message.get("id"), "fault": why})
--- a/tests/daemon/test_replacement.py
+++ b/tests/daemon/test_replacement.py
@@ -190,3 +190,31 @@
         assert not crowd.lost and not ran_twice([*leaving.received, *staying.received])
 
     asyncio.run(scenario())
+
+
+# Guards against an id that runs twice since it comes to another instance, of this program or of the next one.
+def test_an_id_runs_once_whichever_instance_it_comes_to(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        backends = [await Backend(OK).start(), await Backend(OK).start()]
+        async with fleet(tmp_path, *backends, instances=3) as daemon:
+
+            async def ask(name: str) -> int:
+                client = await connect(daemon.address)
+                client.send(request(name, "pay", b"x"))
+                status = (await client.answer())[0]
+                client.close()
+                return status
+
+            names = [f"r{number}" for number in range(40)]
+            assert [await ask(name) for name in names] == [200] * 40
+            assert [await ask(name) for name in names for _ in range(4)] == [409] * 160
+            statuses = await asyncio.gather(*(ask(f"both-{at // 4}") for at in range(160)))
+            assert statuses.count(200) <= 40
+            old, new = daemon.process, await start_replacement(daemon)
+            await wait_for_control_socket(daemon, new.pid)
+            daemon.process = new
+            assert [await ask(name) for name in names for _ in range(4)] == [409] * 160
+            assert ran_twice([whole for backend in backends for whole in backend.received]) == []
+            assert await asyncio.wait_for(old.wait(), WAIT_TIMEOUT_S) == 0
+
+    asyncio.run(scenario())
