Wait for a client as long as it takes some of its answer, whatever its rate

Play: clients that read an answer of 6 MB at 3, 10 and 30 kB/s: five of six were reset after 6.5 to 12.9 s, the sixth was still held by the kernel's buffers when the play ended at 25 s.

Cause: a piece of 64 KiB had to be taken whole within 5 s (Wire.send). A client that reads 12 kB a second or less never does, and the kernel reports room only when a good part of its own buffer is free.

Change: a wait counts as a stall only if less than 4 KiB of what the kernel holds were acknowledged meanwhile (TIOCOUTQ; where that is not told, the wait alone counts), and 10 s are given in place of 5: over the loopback interface a window opens by 64 KiB. The same holds for servers that take a request slowly, with the 10 s that they had.

A client that takes nothing keeps its connection, and room in the memory budget, for 10 s in place of 5.

--- a/sorrelfront/fronts/http1.py
+++ b/sorrelfront/fronts/http1.py
@@ -82,7 +82,9 @@
 IDLE_SHED_SHARE = 0.9  # of the connections allowed for requests; above it the longest idle are shed
 SWEEP_S = 0.2  # between checks of all timeouts
 MAX_BLANK_BYTES = 64  # empty lines before a request
-STALL_S = 5.0  # a client that reads nothing for this long has stalled; a write is 64 KiB at most
+# A client that takes nothing for this long has stalled. One that reads 7 kB a second takes 64 KiB meanwhile,
+# by which the window of a connection over the loopback interface grows.
+STALL_S = 10.0
 MAX_DISCARD_BYTES = 256 * 1024  # read after the last request, so that no reset destroys its answer
 DISCARD_PAUSE_S = 0.02  # between reads after that, while answers are pending: 3 MB/s at most
 LINGER_S = 1.0  # lingering close: time to read the last answer, which a reset would destroy
--- a/sorrelfront/net/http.py
+++ b/sorrelfront/net/http.py
@@ -10,9 +10,11 @@
 
 import asyncio
 import contextlib
+import fcntl
 import select
 import socket
 import struct
+import termios
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -24,6 +26,7 @@
 from sorrelfront.net.heads import MAX_HEAD_BYTES as MAX_HEAD_BYTES
 
 SEND_BYTES = 65_536  # per write, so that a stall within a long body is noticed
+MIN_PROGRESS_BYTES = 4_096  # that a peer has to take within the time after which it counts as stalled
 # Chunks parsed before the event loop runs other tasks. One read may hold ten thousand chunks of one byte.
 MAX_CHUNKS_PER_TURN = 64
 # Bytes per socket buffer; autotuned ones would grow to megabytes per connection
@@ -228,14 +231,43 @@
     async def send(self, data: bytes | bytearray | memoryview, stall_s: float | None = None) -> None:
         """Return once the kernel has all of the data.
 
-        Raises OSError of the socket, and TimeoutError if a piece of SEND_BYTES takes longer than `stall_s`
-        seconds.
+        Raises OSError of the socket, and TimeoutError if the peer takes less than MIN_PROGRESS_BYTES in
+        `stall_s` seconds.
         """
         sent = self.send_now(data)  # most data fits, and needs neither a wait nor a timer
         view = memoryview(data)
-        for start in range(sent, len(view), SEND_BYTES):
-            async with asyncio.timeout(stall_s):
-                await self._loop.sock_sendall(self.sock, view[start : start + SEND_BYTES])
+        while sent < len(view):
+            await self._wait_writable(stall_s)
+            sent += self.send_now(view[sent : sent + SEND_BYTES])
+
+    async def _wait_writable(self, stall_s: float | None) -> None:
+        """Wait until the kernel takes more.
+
+        It says so only when a good part of its buffer, which may hold megabytes, is free. A slow peer needs
+        longer for that, so it counts as stalled only if it has taken hardly anything of that meanwhile.
+        """
+        while True:
+            held = self._held_by_kernel()
+            writable: asyncio.Future[None] = self._loop.create_future()
+            self._loop.add_writer(self._fd, _set_done, writable)
+            try:
+                async with asyncio.timeout(stall_s):
+                    await writable
+                return
+            except TimeoutError:
+                if held - self._held_by_kernel() < MIN_PROGRESS_BYTES:
+                    raise
+            finally:
+                if not self.closed:
+                    self._loop.remove_writer(self._fd)
+
+    def _held_by_kernel(self) -> int:
+        """Return how many sent bytes the peer's kernel has not acknowledged; 0 if that is not told."""
+        try:
+            (count,) = struct.unpack("i", fcntl.ioctl(self._fd, termios.TIOCOUTQ, bytes(4)))
+        except OSError:
+            return 0
+        return int(count)
 
     def nothing_unread(self) -> bool:
         """Return whether no input is unread: no bytes, no end of stream, no error."""
@@ -293,6 +325,11 @@
             self.sock.close()
 
 
+def _set_done(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_result(None)
+
+
 @dataclass(slots=True)
 class Payload:
     """The HTTP part of a request, which is forwarded to a backend."""
