Let attempts end before a request is failed at its deadline

Found by a whole run of the tests beside other work: an answer that stops had its safe request answered with 500, where 503 is wanted. Since answers are waited for until the client's time is over, far more attempts end at that moment.

Cause: the timer that answers a request nothing else has answered runs 10 ms after the attempts' own. If the event loop is held up for so long just then, both run in one step, and the end of an attempt, which needs further steps, comes too late. The request failed although its class could be refused, and 'no answer to request' was logged as an error.

Change: while an attempt is out, that timer gives it 10 ms more, once.

Test: a pause of this process at a deadline: 500 before, 503 now.

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -399,8 +399,16 @@
             self._dispatch(self.balancer.on_client_gone, api.ClientGone(held.id))
 
     def _on_deadline_passed(self, held: PendingRequest) -> None:
-        # A request that was taken is answered even if deciding on it went wrong. After this process was
-        # suspended, this timer may also run before the timeout of an attempt that expired earlier.
+        """Answer a request that nothing else has answered, once its attempts have had time to end."""
+        if any(request_id == held.id for request_id, _ in self._running):
+            # Their time is over too, and their ends decide more: whether a repeat is harmless. After a pause
+            # of this process, this timer runs in the same step as theirs.
+            self._set_timer(held, self._loop.time() + ANSWER_GRACE_US / 1e6, self._fail_unanswered)
+        else:
+            self._fail_unanswered(held)
+
+    def _fail_unanswered(self, held: PendingRequest) -> None:
+        # A request that was taken is answered even if deciding on it went wrong.
         late_s = 0.0 if held.deadline_timer is None else self._loop.time() - held.deadline_timer.when()
         log.error("no answer to request %d by its deadline, timer %.3f s late", held.id, late_s,
                   extra=_log_fields(held.call))  # fmt: skip
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from types import SimpleNamespace
 
 import pytest
@@ -84,6 +85,19 @@
         assert made.agent.attempts == 0 and made.upstream.memory.held == 0
 
 
+# Guards against a safe request that fails where it is to be refused: the process stood still at its deadline.
+@async_test
+async def test_a_pause_of_this_process_at_a_deadline_leaves_the_answer_to_the_attempt() -> None:
+    backend = await Backend(UNFINISHED["longer than it is"]).start()
+    async with running_agent(backend) as made:
+        asking = asyncio.create_task(ask(made.listener.address, request("safe", budget="400m")))
+        await until(lambda: len(backend.received) == 1)
+        (held,) = made.agent._pending.values()
+        assert held.deadline_timer is not None
+        asyncio.get_running_loop().call_at(held.deadline_timer.when() - 0.02, time.sleep, 0.1)
+        assert (await asking).status == 503
+
+
 @pytest.mark.parametrize("more", [OK, b"noise"])
 def test_bytes_after_an_answer_reach_no_other_request(more: bytes) -> None:
     async def scenario() -> None:
