Choose the ports of tests at random again

Ports in turn are neighbours, and a daemon with [fleet] listens at the ports that follow its own: test_members_shows_the_fleet_and_follows_its_changes failed in a whole run, its daemon's start ended with '[fleet] listen: with the ports that follow is that of a listener too'. Ports of which none is another's neighbour would be as good; the change was not shown to be needed.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -10,7 +10,7 @@
 import signal
 import socket
 import sys
-from collections.abc import AsyncIterator, Iterator, Mapping
+from collections.abc import AsyncIterator, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -31,33 +31,13 @@
 OK = answer(b"served")
 
 
-def _port_candidates() -> Iterator[int]:
-    """Yield ports in turn, from a range that no other worker of this test run uses."""
-    start, count = FIRST_PORT, PORTS
-    worker = os.environ.get("PYTEST_XDIST_WORKER")
-    if worker is not None:
-        count = PORTS // PORT_RANGES
-        start += int(worker.removeprefix("gw")) % PORT_RANGES * count
-    offset = random.SystemRandom().randrange(count)
-    while True:
-        offset = (offset + 1) % count
-        yield start + offset
-
-
-FIRST_PORT = 10_000
-PORTS = 22_000
-PORT_RANGES = 16
-_ports = _port_candidates()
-
-
 def free_address() -> tuple[str, int]:
     """Return an address that nobody listens at, below the machine's range of ephemeral ports.
 
-    A port of that range could be given to a concurrent test's connection before it is listened at here. And a
-    port that is free now could be chosen by a concurrent test too, so each worker has ports of its own.
+    A port of that range could be given to a concurrent test's connection before it is listened at here.
     """
     while True:
-        address = ("127.0.0.1", next(_ports))
+        address = ("127.0.0.1", random.SystemRandom().randrange(10_000, 32_000))
         with contextlib.suppress(OSError), socket.create_server(address):
             return address
 
