Log the watch events and records of ephemeral nodes, with the zxids of each node

Its logs could not tell apart: the new node is not read; it is read and no watch stands on it; the watch fires and the record is not read; the record is read and the decision, or the agent, does not apply it.

Now each watch event, each read of the children (how many are new and gone) and each record (the zxids of its node's creation and last change, and its phase) has a line, 20 of a kind in 10 s at most, as all.

--- a/sorrelfront/sources/zookeeper.py
+++ b/sorrelfront/sources/zookeeper.py
@@ -215,6 +215,7 @@
         if self.seats is not None and path == self._settings.seats_path:
             self.seats.on_seats_changed()
             return
+        log.info("watch event: %s, %s", event.name.lower(), path[-MAX_TEXT_CHARS:])
         if path == self._settings.path:
             self._children_stale = True
         elif event is Event.CHANGED:
@@ -281,6 +282,8 @@
             log.warning("%d children, only %d of them are read", len(names), MAX_CHILDREN)
             names = sorted(names)[:MAX_CHILDREN]
         present = set(names)
+        log.info("children: %d, of which %d are new and %d are gone", len(present),
+                 len(present - self._listed_nodes), len(self._listed_nodes - present))  # fmt: skip
         for node in self._listed_nodes - present:
             # A node with a reported change is still read, to learn that it changed before it was deleted.
             if not self._unread.get(node):
@@ -318,6 +321,10 @@
             member = parse_record(data, stat)
         except MalformedList as fault:
             log.warning("ignoring the record of %s: %s", node[:MAX_TEXT_CHARS], fault)
+        else:
+            phase = "draining" if member.draining else "ready"
+            log.info("record of %s: node created in %#x, changed in %#x, %s",
+                     node[:MAX_TEXT_CHARS], stat.czxid, stat.mzxid, phase)  # fmt: skip
         self.tracker.on_record(node, member, self._now())
 
     def _on_read_failure(
