Read a node again that was deleted and created anew under its name

A server that came back at another address got nothing there, one that came back with another start time was not taken for cold, and one that came back draining was served.

Cause: EphemeralNodeSource took the name of a node for the node. The deletion fires the data watch; _on_event then had the children read, and _read_children queued only names that were not in _listed_nodes. A node that was created again before that read kept its name in both, so its record was not read and no watch stood on it.

Change: names whose deletion an event has reported are kept until a read of the children that was sent after the event; those that it lists are read like new ones, which sets the watch of the new node. A deletion that is reported while that read is under way waits for the next.

--- a/sorrelfront/sources/zookeeper.py
+++ b/sorrelfront/sources/zookeeper.py
@@ -122,7 +122,10 @@
         self._sync_first = False  # the next read of the children is preceded by a sync
         self._delay_read = False  # the next read of the children waits a random part of RESYNC_SPREAD_S
         self._unread: OrderedDict[str, bool] = OrderedDict()  # records to read; True: a watch has fired
-        self._listed_nodes: set[str] = set()
+        self._listed_nodes: set[str] = set()  # whose record is read, or is in `_unread`
+        # Listed nodes whose deletion an event has reported. One that is listed again is another node of the
+        # same name: what was read of the first one, and its watch, say nothing about it.
+        self._deleted_nodes: set[str] = set()
         self._path_missing = False
         self._revision = 0
         self._evaluation_scheduled = False
@@ -162,8 +165,7 @@
         self._timers.clear()
 
     def _open_session(self) -> None:
-        self._unread.clear()
-        self._listed_nodes.clear()
+        self._forget_nodes()
         self._children_stale = True
         self._session = net.Session(
             self._settings.session, self._seed, self._on_session_state, self._on_event
@@ -189,6 +191,12 @@
             task.add_done_callback(self._closing_tasks.discard)
         self._connected = False
 
+    def _forget_nodes(self) -> None:
+        """Have each node read again: none of them has a watch in a new session."""
+        self._unread.clear()
+        self._listed_nodes.clear()
+        self._deleted_nodes.clear()
+
     # Callbacks of the session
 
     def _on_session_state(self, state: net.SessionState) -> None:
@@ -198,8 +206,7 @@
         self.tracker.on_service_state(SERVICE_STATES[state], now)
         if state is net.SessionState.EXPIRED:
             # The watches ended with the session: everything is read again.
-            self._unread.clear()
-            self._listed_nodes.clear()
+            self._forget_nodes()
             self._children_stale = self._delay_read = True
         elif state is net.SessionState.CONNECTED and not self._connected and not self._listed_nodes:
             self._children_stale = True
@@ -216,13 +223,14 @@
             self.seats.on_seats_changed()
             return
         log.info("watch event: %s, %s", event.name.lower(), path[-MAX_TEXT_CHARS:])
+        node = path.rpartition("/")[2]
         if path == self._settings.path:
             self._children_stale = True
         elif event is Event.CHANGED:
-            node = path.rpartition("/")[2]
             self._unread[node] = True
             self._unread.move_to_end(node, last=False)  # before the rest of a long first read
         elif event is Event.DELETED:
+            self._deleted_nodes.add(node)
             self._children_stale = True
         self._work_ready.set()
 
@@ -268,22 +276,16 @@
         self.reads += 1
         if sync_first:
             await session.sync(self._settings.path)
-        self._path_missing = False
-        try:
-            names, _ = await session.children(self._settings.path, watch=True)
-        except net.ZooKeeperError as refused:
-            if refused.err != Err.NO_NODE:
-                self._children_stale = True
-                raise
-            names = []
-            self._path_missing = True
-            self._call_later(RETRY_DELAY_S * (0.5 + self._random.random()), self._reread_children)
+        deleted = frozenset(self._deleted_nodes)  # a node that is deleted later waits for the next read
+        names = await self._request_children(session)
+        self._deleted_nodes -= deleted
         if len(names) > MAX_CHILDREN:
             log.warning("%d children, only %d of them are read", len(names), MAX_CHILDREN)
             names = sorted(names)[:MAX_CHILDREN]
         present = set(names)
-        log.info("children: %d, of which %d are new and %d are gone", len(present),
-                 len(present - self._listed_nodes), len(self._listed_nodes - present))  # fmt: skip
+        new, replaced = present - self._listed_nodes, present & deleted
+        log.info("children: %d, of which %d are new and %d replaced; %d are gone",
+                 len(present), len(new), len(replaced), len(self._listed_nodes - present))  # fmt: skip
         for node in self._listed_nodes - present:
             # A node with a reported change is still read, to learn that it changed before it was deleted.
             if not self._unread.get(node):
@@ -291,11 +293,25 @@
                 session.forget_watch(f"{self._settings.path}/{node}")
         changed_nodes = {node for node in self._listed_nodes - present if self._unread.get(node)}
         self.tracker.on_children(present | changed_nodes, self._now(), read_sent_at)
-        for node in present - self._listed_nodes:
+        for node in new | replaced:
             self._unread.setdefault(node, False)
         self._listed_nodes = present | changed_nodes
         await asyncio.sleep(0 if self._unread else MIN_CHILDREN_INTERVAL_S)
 
+    async def _request_children(self, session: net.Session) -> list[str]:
+        """Return the names of the children, and have them read again later if their parent is missing."""
+        self._path_missing = False
+        try:
+            names, _ = await session.children(self._settings.path, watch=True)
+        except net.ZooKeeperError as refused:
+            if refused.err != Err.NO_NODE:
+                self._children_stale = True
+                raise
+            self._path_missing = True
+            self._call_later(RETRY_DELAY_S * (0.5 + self._random.random()), self._reread_children)
+            return []
+        return names
+
     async def _read_records(self, session: net.Session) -> None:
         nodes = [
             self._unread.popitem(last=False) for _ in range(min(MAX_CONCURRENT_READS, len(self._unread)))
--- /dev/null
+++ b/tests/sources/test_replaced_nodes.py
@@ -0,0 +1,100 @@
+"""A node that is deleted and created again under its name, between any two reads of the source."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from sorrelfront.decisions.interface import State
+from sorrelfront.sources import zookeeper as source
+from tests.loopback import until
+from tests.sources.ephemeral import PATH, Environment, run_scenario
+
+
+@pytest.fixture(autouse=True)
+def _no_refresh(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Keep the periodic read from finding what an event should have reported."""
+    monkeypatch.setattr(source, "REFRESH_INTERVAL_S", 1e6)
+
+
+def replace_node(env: Environment, name: str, **record: Any) -> None:
+    """Delete the node of a server and create it again at once, as a process that restarts does."""
+    tree = env.ensemble.tree
+    tree.delete(f"{PATH}/{name}", -1, set())
+    data = json.dumps({"id": name, **record}).encode()
+    tree.create(f"{PATH}/{name}", data, tree.nodes["/"].acls, 0, 0, set(), 0)
+
+
+def write_phase(env: Environment, name: str, phase: str) -> None:
+    """Write another phase into the record of a server."""
+    tree = env.ensemble.tree
+    record = {**json.loads(tree.nodes[f"{PATH}/{name}"].data), "phase": phase}
+    tree.set(f"{PATH}/{name}", json.dumps(record).encode(), -1, set(), 0)
+
+
+def test_a_server_that_registered_again_under_its_node_is_read_and_its_drain_applied() -> None:
+    """review/9: the new node was not read, and no watch stood on it, so its drain was never seen."""
+
+    async def scenario(env: Environment) -> None:
+        everyone = await env.servers(4)
+        instance = env.instance()
+        await until(lambda: instance.ready == everyone)
+        replace_node(env, "b1", address="127.0.0.1:9901", started_ms=7_000)
+        await until(lambda: instance.started["b1"] == 7_000_000)
+        assert instance.addresses["b1"] == ("127.0.0.1", 9_901)
+        write_phase(env, "b1", "draining")
+        await until(lambda: instance.ready == everyone - {"b1"})
+
+    run_scenario(scenario)
+
+
+def test_a_server_that_comes_back_draining_gets_nothing_new() -> None:
+    """The new record says that it drains: it went on being served by the record of the old node."""
+
+    async def scenario(env: Environment) -> None:
+        everyone = await env.servers(4)
+        instance = env.instance()
+        await until(lambda: instance.ready == everyone)
+        replace_node(env, "b2", address="127.0.0.1:9002", started_ms=1_000, phase="draining")
+        await until(lambda: instance.states["b2"] is State.DRAINING)
+
+    run_scenario(scenario)
+
+
+def test_a_server_that_is_replaced_many_times_in_a_row_is_known_by_its_last_node() -> None:
+    """Nodes that come and go within one read, before and after its answer, must not hide the last one."""
+
+    async def scenario(env: Environment) -> None:
+        everyone = await env.servers(4)
+        instance = env.instance()
+        await until(lambda: instance.ready == everyone)
+        member = env.ensemble.members[0]
+        for number in range(1, 41):
+            member.answer_delay_s = 0.003 * (number % 3)
+            asked = member.request_counts["GET_DATA"]
+            replace_node(env, "b3", address="127.0.0.1:9003", started_ms=10_000 + number)
+            if number % 4:  # the next one follows while the record is read, or before it is
+                await until(lambda seen=asked: member.request_counts["GET_DATA"] > seen)  # type: ignore[misc]
+        await until(lambda: instance.started["b3"] == 10_040_000)
+        write_phase(env, "b3", "draining")
+        await until(lambda: instance.ready == everyone - {"b3"})
+
+    run_scenario(scenario)
+
+
+def test_a_node_that_names_another_server_than_the_one_before_it() -> None:
+    """The name of a node says nothing about its server: the one of the old node has left."""
+
+    async def scenario(env: Environment) -> None:
+        everyone = await env.servers(4)
+        instance = env.instance()
+        await until(lambda: instance.ready == everyone)
+        tree = env.ensemble.tree
+        tree.delete(f"{PATH}/b0", -1, set())
+        record = json.dumps({"id": "other", "address": "127.0.0.1:9990", "started_ms": 7_000}).encode()
+        tree.create(f"{PATH}/b0", record, tree.nodes["/"].acls, 0, 0, set(), 0)
+        await until(lambda: instance.ready == everyone - {"b0"} | {"other"})
+
+    run_scenario(scenario)
