Send nothing to the process that was behind a server's id when its attempt was decided on

Callers saw: an attempt whose connect took long was sent to the address that its server had when it was decided on, although the list had told meanwhile that the server is another process, at another address. So requests went to a process that is gone or on its way out, however long after the list had said so: up to the connect time-out, and for a long body up to its last byte.

Cause: Agent._may_send, which is asked before each step of an attempt, asked whether the id of the server is ready, not whether the process is still the one that the attempt goes to. A server that had left was noticed, one that had left and come back was not.

Change: the directory gives the process behind an id, its address and start time; an attempt keeps the one that it was decided for and ends as unreachable, never run, once the id stands for another.

Tests: tests/test_replaced_servers.py, a connect that comes up after the list has named another address, with and without another start time: both failed before (the old process answered), both pass now.

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -17,7 +17,7 @@
 from sorrelfront.decisions.overrides import Overrides
 from sorrelfront.decisions.request_ids import RequestIds
 from sorrelfront.events import Event, EventCounter
-from sorrelfront.lists import Directory
+from sorrelfront.lists import Directory, Target
 from sorrelfront.messages import Address, Answer, AttemptResult, Call, Failed, FinalAnswer, Refused, Update
 from sorrelfront.net.budget import MAX_STREAMED_BODY
 
@@ -575,16 +575,17 @@
             return
         started = self.now()
         backend = action.backend
-        address = self._directory.address(backend)
-        if address is not None:
+        target = self._directory.target(backend)
+        if target is not None:
             running = self._upstream.begin(
-                held.call, address, action.timeout_us,
-                partial(self._may_send, held, action), partial(self._on_attempt_done, held, key, started),
+                held.call, target.address, action.timeout_us,
+                partial(self._may_send, held, action, target),
+                partial(self._on_attempt_done, held, key, started),
             )  # fmt: skip
             if running is not None:
                 self._running[key] = running
                 return
-        task = self._running[key] = asyncio.create_task(self._exchange(held, key, action, started))
+        task = self._running[key] = asyncio.create_task(self._exchange(held, key, action, target, started))
         task.add_done_callback(lambda done: self._on_task_done(held, key, backend, done, started))
 
     def _fail_unsent(self, held: PendingRequest, key: tuple[int, int]) -> None:
@@ -592,11 +593,11 @@
         self.fail(held)
         self._on_attempt_ended(held, key, AttemptResult(api.Outcome.UNSENT), 0)
 
-    def _may_send(self, held: PendingRequest, action: api.Send) -> bool:
+    def _may_send(self, held: PendingRequest, action: api.Send, target: Target) -> bool:
         """Return whether an attempt may still be sent; checked before each of its steps.
 
-        By the time its connection is established, its client may have disconnected, its server may drain, or
-        the deduplication window of an earlier attempt may have passed.
+        By the time its connection is established, its client may have disconnected, its server may drain or
+        be another process, or the deduplication window of an earlier attempt may have passed.
         """
         if held.id not in self._pending or self.now() >= action.begin_before_us:
             return False
@@ -604,7 +605,7 @@
         # disconnect is known only to the kernel.
         if held.call.client_gone is not None and held.call.client_gone():
             return False
-        return self._directory.is_ready(action.backend)
+        return self._directory.target(action.backend) == target
 
     def _on_attempt_done(
         self, held: PendingRequest, key: tuple[int, int], started: int, ended: AttemptResult
@@ -644,20 +645,23 @@
         return min(now - started, int((time.monotonic() - upload.completed_at) * 1e6))
 
     async def _exchange(
-        self, held: PendingRequest, key: tuple[int, int], action: api.Send, started: int
+        self,
+        held: PendingRequest,
+        key: tuple[int, int],
+        action: api.Send,
+        target: Target | None,
+        started: int,
     ) -> None:
         """Run one attempt and report its outcome.
 
         Both happen in one step, because a callback would cost an iteration of the event loop.
         """
-        backend = action.backend
-        address = self._directory.address(backend)
-        # The server may have left the list between the decision and this step. UNSENT would mean that this
-        # process has no room, and the request would be refused although other servers could serve it.
+        # A server without a process for new requests: UNSENT would mean that this agent has no room, and the
+        # request would be refused although other servers could serve it.
         ended = AttemptResult(api.Outcome.UNREACHABLE)
-        if address is not None:
+        if target is not None:
             ended = await self._upstream.attempt(
-                held.call, address, action.timeout_us, partial(self._may_send, held, action)
+                held.call, target.address, action.timeout_us, partial(self._may_send, held, action, target)
             )
         del self._running[key]
         self._on_attempt_ended(held, key, ended, self._elapsed_us(held, started))
--- a/sorrelfront/lists.py
+++ b/sorrelfront/lists.py
@@ -4,7 +4,7 @@
 
 import re
 from ipaddress import AddressValueError, IPv4Address
-from typing import Any
+from typing import Any, NamedTuple
 
 from sorrelfront.decisions import interface as api
 from sorrelfront.errors import SorrelfrontError
@@ -68,12 +68,19 @@
     )
 
 
+class Target(NamedTuple):
+    """The process behind the id of a backend; another address or start time is another process."""
+
+    address: Address
+    started_us: int
+
+
 class Directory:
     """Addresses of the listed backends, and which of them accept new requests."""
 
     def __init__(self) -> None:
         self._addresses: dict[str, Address] = {}
-        self._ready: dict[str, int] = {}  # start time of each, in microseconds
+        self._ready: dict[str, Target] = {}
 
     def apply(self, update: Update) -> dict[str, Address]:
         """Apply an update from the discovery service.
@@ -81,29 +88,22 @@
         Returns the addresses, by server, of the processes that no longer accept new requests: they drain, are
         gone, or were replaced by a restart or at another address.
         """
-        addresses, ready = self._addresses, self._ready
+        ready = self._ready
         if update.complete:
             self._addresses, self._ready = {}, {}
         else:
-            self._addresses, self._ready = dict(addresses), dict(ready)
+            self._addresses, self._ready = dict(self._addresses), dict(ready)
         self._addresses.update(update.addresses)
         for backend in update.backends:
-            if backend.state is api.State.READY:
-                self._ready[backend.id] = backend.started_us
+            address = self._addresses.get(backend.id)
+            if backend.state is api.State.READY and address is not None:
+                self._ready[backend.id] = Target(address, backend.started_us)
             else:
                 self._ready.pop(backend.id, None)
             if backend.state is api.State.GONE:
                 self._addresses.pop(backend.id, None)
-        return {
-            name: addresses[name]
-            for name, started_us in ready.items()
-            if self._ready.get(name) != started_us or self._addresses.get(name) != addresses[name]
-        }
-
-    def address(self, backend: str) -> Address | None:
-        """Return the address of a backend, or None if it is not listed."""
-        return self._addresses.get(backend)
-
-    def is_ready(self, backend: str) -> bool:
-        """Return whether a backend is listed as ready for new requests."""
-        return backend in self._ready
+        return {name: target.address for name, target in ready.items() if self._ready.get(name) != target}
+
+    def target(self, backend: str) -> Target | None:
+        """Return the process that new requests for a backend go to, or None if it accepts none."""
+        return self._ready.get(backend)
