Close a connection after its answer if its server was withdrawn while it was in use

Callers saw: where the process before and the one after listen at one address for a while (a listening socket that is handed over, a server that drains while its successor is up), requests for the new process could go to the old one, and break when it ends.

Cause: Upstream.forget closes the idle connections to an address whose server was withdrawn; those in use at that moment went back to the pool of the address after their answer, and the pool takes the address for the process.

Change: the pool notes which connections are in use, for which address; forget marks them, and release closes what is marked. One dictionary entry for each open connection.

Test: tests/test_replaced_servers.py, an answer that comes after the list has named another start time: the next request went over the same connection before (1 connection), it opens another one now (2).

--- a/sorrelfront/agent.py
+++ b/sorrelfront/agent.py
@@ -96,7 +96,7 @@
         ...
 
     def forget(self, address: Address) -> None:
-        """Close the idle connections to this address."""
+        """Close the connections to this address, those in use after their answer."""
         ...
 
     def reload(self, config: Config) -> None:
--- a/sorrelfront/upstreams/http1.py
+++ b/sorrelfront/upstreams/http1.py
@@ -108,6 +108,7 @@
         self.memory = memory
         self.resize(descriptors, idle_us, connect_timeout_us)
         self._idle: dict[Address, deque[tuple[float, Wire]]] = {}  # per address, longest idle first
+        self._in_use: dict[Wire, Address | None] = {}  # None: its backend was withdrawn meanwhile
         self.open_connections = 0
         self.connections_opened = 0
         self.requests_written = 0  # requests completely written to backends
@@ -215,6 +216,7 @@
                 del self._idle[address]
             idle_s = now - since
             if idle_s < self._idle_s and wire.nothing_unread():
+                self._in_use[wire] = address
                 return wire, idle_s >= SETTLED_S
             self.drop(wire, ServerCloseReason.STALE)
         return None
@@ -244,6 +246,7 @@
             self.drop(wire, ServerCloseReason.CONNECT_FAILED)
             raise
         self.connections_opened += 1
+        self._in_use[wire] = address
         return wire
 
     async def _connect(self, sock: socket.socket, address: Address) -> None:
@@ -264,6 +267,9 @@
     def release(self, address: Address, wire: Wire) -> None:
         """Keep a connection for the next request; close it if the backend sends or closes in between."""
         self._close_expired()
+        if self._in_use.pop(wire, None) is None:
+            self.drop(wire, ServerCloseReason.WITHDRAWN)
+            return
         if self.open_connections > self._descriptors:
             self.drop(wire, ServerCloseReason.EVICTED)
             return
@@ -272,18 +278,22 @@
 
     def drop(self, wire: Wire, reason: ServerCloseReason = ServerCloseReason.UNFINISHED) -> None:
         """Close a connection and count the reason; do nothing if it is closed."""
+        self._in_use.pop(wire, None)
         if not wire.closed:
             self.events.add(Event.CLOSED, reason)
             self.open_connections -= 1
             wire.close()
 
     def forget(self, address: Address) -> None:
-        """Close the idle connections to an address whose backend was withdrawn.
+        """Close the connections to an address whose backend was withdrawn, those in use after their answer.
 
         Another backend may start at this address, and a connection to a machine that vanished shows no close.
         """
         for _, wire in self._idle.pop(address, ()):
             self.drop(wire, ServerCloseReason.WITHDRAWN)
+        for wire, used_for in self._in_use.items():
+            if used_for == address:
+                self._in_use[wire] = None
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/tests/test_replaced_servers.py
+++ b/tests/test_replaced_servers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sorrelfront.lab.http1 import gated_script
 from tests.loopback import Backend, Registry, answer, async_test, member, request, running_agent, until
 from tests.net.test_connecting import DelayedConnects
 
@@ -35,3 +36,23 @@
         assert (await client.answer())[2] == b"new"
         assert old.received == []
     new.stop()
+
+
+@async_test
+async def test_a_connection_in_use_when_its_process_is_replaced_is_not_used_for_the_next_one() -> None:
+    """Both listen at one address for a while; the connection went back to the pool of that address."""
+    go, answers_late = gated_script(OLD)
+    old = await Backend(answers_late).start()
+    registry = await Registry().start()
+    async with running_agent(old, registry=registry) as made:
+        client = await made.client()
+        client.send(request("a"))
+        await old.arrived.wait()
+        await registry.watch_opened.wait()
+        registry.update(restarted(old.address, started_ms=1_000))
+        await until(lambda: made.agent.balancer.servers["b0"].info.started_us == 1_000_000)
+        go.set()
+        assert (await client.answer())[2] == b"old"
+        client.send(request("b"))
+        assert (await client.answer())[0] == 200
+        assert old.connections == 2
