Keep what attempts at a replaced process show apart from the process that replaces it

Callers saw: a server that was replaced with attempts in flight got nothing for a while after its new process was listed: requests went to the others, or were refused where these were few.

Cause: Balancer.on_list reset the state of a server on a new start time, in place. Attempts at the process before kept pointing at it, so they counted as pending at the new one, and their resets and failed connects as its own.

Evidence: four attempts in flight at the time of the new start, which then end by resets or failed connects: the circuit breaker of the new process was open for 2 s (its doubling back-off, connect time-out 0.25 s) and its estimate 4.0 in place of 1.0. Those that end by time-outs only counted as pending. Since attempts at a replaced process end as unreachable, each of those would have counted too.

Change: a new start time makes a new Server; attempts keep the one that they were sent to.

Test: tests/test_rules.py, the three outcomes: all failed before, by the pending attempts.

--- a/sorrelfront/decisions/balancer.py
+++ b/sorrelfront/decisions/balancer.py
@@ -117,7 +117,7 @@
 
 
 class Server:
-    """State of one backend: a peak estimate for picking and a mean for forecasting."""
+    """State of one process of a backend: a peak estimate for picking and a mean for forecasting."""
 
     __slots__ = ("ahead", "breaker", "cap", "cap_until", "decay_us", "estimate", "info", "kind",
                  "last_answer_at", "mean", "pending", "updated_at", "warm_at")  # fmt: skip
@@ -125,10 +125,6 @@
     def __init__(self, info: api.Backend, kind: KindStats, warm_at: int, decay_us: float) -> None:
         self.decay_us = decay_us
         self.pending: dict[tuple[int, int], tuple[int, float]] = {}  # oldest first: sent at, expected latency
-        self.start(info, kind, warm_at)
-
-    def start(self, info: api.Backend, kind: KindStats, warm_at: int) -> None:
-        """Reset for a new process: what was learnt about the old one no longer holds."""
         self.info = info
         self.kind = kind
         self.estimate = self.mean = 0.0
@@ -351,11 +347,9 @@
                 continue
             kind = self.kinds.setdefault(info.kind, KindStats(1.0, self.recent_us))
             if server is None or server.info.started_us != info.started_us:
+                # Attempts at an old process keep their own: their outcomes say nothing about the new one.
                 warm_at = self.slow_start.warm_at(info, now, self.settings.cold_us)
-                if server is None:
-                    server = Server(info, kind, warm_at, self.decay_us)
-                else:
-                    server.start(info, kind, warm_at)
+                server = Server(info, kind, warm_at, self.decay_us)
             server.info = info
             kept[info.id] = server
         if known is not kept:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -301,6 +301,20 @@
     assert lb.servers["b000"].project(20) == pytest.approx(1.0)
 
 
+@pytest.mark.parametrize("outcome", [Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT])
+def test_attempts_at_a_process_that_was_replaced_say_nothing_about_the_new_one(outcome: Outcome) -> None:
+    """Their failures closed the circuit breaker of the process that has just started."""
+    lb = balancer(1)
+    for number in range(4):
+        assert sends(request(lb, number, UNSAFE, 0)) == ["b000"]
+    lb.on_list(BackendList(ListKind.DELTA, (Backend("b000", started_us=10),)), 20)
+    assert not lb.servers["b000"].pending
+    for number in range(4):
+        ended(lb, number, 0, outcome, 30)
+    assert lb.servers["b000"].accepts(31)
+    assert lb.servers["b000"].project(31) == pytest.approx(1.0)
+
+
 # Failures, retries and overload
 
 
