Notice watches that were lost, within the time in which a change counts as notified

Callers see, where a watch on an ephemeral node is lost (by a member of the service, or by a fault in the bookkeeping of either side): nothing of what the server writes later. A drain behind it was never applied, a restart never seen; a server that joined or left was noticed after 15 to 45 s by the periodic read, which reads names only.

Cause: nothing compared the records with what was read of them.

Change: every 3 to 5 s each session has the service compare all watched nodes with the zxids that were read of them, and set their watches again (setWatches, as after a reconnect). A node that has changed fires its watch and is read; nothing is read where nothing was lost. Nodes that changed since the last check are compared by their own zxid, in a request each: by the common one they would all be read again.

The stand-in can lose its watches (lose_watches).

--- a/sorrelfront/lab/zookeeper/__main__.py
+++ b/sorrelfront/lab/zookeeper/__main__.py
@@ -44,7 +44,7 @@
 
 async def _inject_fault(member: Member, do: str, command: dict[str, Any]) -> None:
     match do:
-        case "stall" | "go_on" | "drop" | "vanish" | "freeze" | "thaw":
+        case "stall" | "go_on" | "drop" | "vanish" | "freeze" | "thaw" | "lose_watches":
             getattr(member, do)()
         case "come_back":
             await member.come_back()
--- a/sorrelfront/lab/zookeeper/ensemble.py
+++ b/sorrelfront/lab/zookeeper/ensemble.py
@@ -141,6 +141,13 @@
         """Listen again on the same address after `vanish`."""
         await self.listen(*self._listen_address)
 
+    def lose_watches(self) -> None:
+        """Forget every watch that was set through this member, without an event."""
+        for peer in self._peers:
+            peer.data.clear()
+            peer.exists.clear()
+            peer.children.clear()
+
     def lose_quorum(self, read_only: bool = False) -> None:
         """Abort every connection, and accept none, or with `read_only` those that ask for read-only."""
         self.quorum = "read-only" if read_only else "lost"
--- a/sorrelfront/net/zookeeper.py
+++ b/sorrelfront/net/zookeeper.py
@@ -52,6 +52,7 @@
 MAX_WATCHES = 50_000
 CONNECT_TIMEOUT_S = 1.0  # for connecting and for the response to the first record
 BACKOFF_RANGE_S = (0.05, 2.0)  # between connections, doubled with each failure and randomized by seed
+UNREAD = -1  # the zxid of a watched node whose read is under way
 MAX_WATCHES_PER_RECORD = 4_096  # set again in one record; more would not fit in a frame
 
 
@@ -158,9 +159,10 @@
         self._ping_sent_at: float | None = None
         self._disconnected_since = self._loop.time()
         self._stale_server_seen = False  # a server with older data was seen since the last connection
-        # Watches by kind, to set them again after a reconnect.
-        self._data_watches: set[str] = set()
-        self._child_watches: set[str] = set()
+        # Watches by kind, to set them again, each with the zxid of the change that the last read has seen.
+        self._data_watches: dict[str, int] = {}
+        self._child_watches: dict[str, int] = {}
+        self._verified_zxid = 0  # changes up to this one have been read, or have fired a watch
         self.state: SessionState | None = None
         self.connections = 0
         self._task = asyncio.create_task(self._run())
@@ -221,30 +223,60 @@
     async def get(self, path: str, watch: bool) -> tuple[bytes, Stat]:
         """Return the data and metadata of a node, and set a data watch if `watch`."""
         full = self._add_watch(path, self._data_watches, watch)
-        return await self._request(Op.GET_DATA, Writer().text(full).flag(watch).record(), _parse_data)
+        data, stat = await self._request(Op.GET_DATA, Writer().text(full).flag(watch).record(), _parse_data)
+        if watch and full in self._data_watches:
+            self._data_watches[full] = stat.mzxid
+        return data, stat
 
     async def children(self, path: str, watch: bool) -> tuple[list[str], Stat]:
         """Return the names of the children and the metadata of a node; set a child watch if `watch`."""
         full = self._add_watch(path, self._child_watches, watch)
-        return await self._request(
-            Op.GET_CHILDREN2, Writer().text(full).flag(watch).record(), _parse_children
+        record = Writer().text(full).flag(watch).record()
+        names, stat = await self._request(Op.GET_CHILDREN2, record, _parse_children)
+        if watch and full in self._child_watches:
+            self._child_watches[full] = stat.pzxid
+        return names, stat
+
+    async def verify_watches(self) -> None:
+        """Have the service compare each watched node with what was read of it, and set its watch again.
+
+        A node that has changed since then fires its watch, as after a reconnect: its own one had been lost.
+        Nodes whose read is under way are left out. Those that changed since the last call take a request
+        each, all others one together, and nothing is read where nothing was lost. Raises like all requests.
+        """
+        known_zxid, last_zxid = self._verified_zxid, self._last_zxid
+        data, children = self._data_watches, self._child_watches
+        records = self._watch_records(
+            known_zxid,
+            [path for path, zxid in data.items() if UNREAD < zxid <= known_zxid],
+            [path for path, zxid in children.items() if UNREAD < zxid <= known_zxid],
         )
+        records += [
+            record for path, zxid in data.items() if zxid > known_zxid
+            for record in self._watch_records(zxid, [path], [])
+        ]  # fmt: skip
+        records += [
+            record for path, zxid in children.items() if zxid > known_zxid
+            for record in self._watch_records(zxid, [], [path])
+        ]  # fmt: skip
+        await asyncio.gather(*(self._request(Op.SET_WATCHES, record, _parse_empty) for record in records))
+        self._verified_zxid = last_zxid
 
     async def sync(self, path: str) -> None:
         """Make the connected server catch up with the leader, so that the next read is up to date."""
         await self._request(Op.SYNC, Writer().text(self._full_path(path)).record(), Reader.text)
 
-    def _add_watch(self, path: str, watches: set[str], watch: bool) -> str:
+    def _add_watch(self, path: str, watches: dict[str, int], watch: bool) -> str:
         full = self._full_path(path)
         if watch:
             if len(self._data_watches) + len(self._child_watches) >= MAX_WATCHES and full not in watches:
                 raise TooManyRequests
-            watches.add(full)
+            watches[full] = UNREAD
         return full
 
     def forget_watch(self, path: str) -> None:
         """Stop setting the data watch of this path again after a reconnect."""
-        self._data_watches.discard(self._full_path(path))
+        self._data_watches.pop(self._full_path(path), None)
 
     def _full_path(self, path: str) -> str:
         return (self._settings.chroot + path).rstrip("/") or "/"
@@ -318,6 +350,7 @@
 
     def _reset_session(self) -> None:
         self.id, self._password, self._last_zxid, self._stale_server_seen = 0, bytes(PASSWORD_BYTES), 0, False
+        self._verified_zxid = 0
         self._data_watches.clear()
         self._child_watches.clear()
         self._set_state(SessionState.EXPIRED)
@@ -395,10 +428,17 @@
     def _set_watches(self, writer: asyncio.StreamWriter) -> None:
         """Set all watches again; changes since our last zxid fire at once."""
         data, children = sorted(self._data_watches), sorted(self._child_watches)
-        for start in range(0, max(len(data), len(children)), MAX_WATCHES_PER_RECORD):
-            part = slice(start, start + MAX_WATCHES_PER_RECORD)
-            record = Writer().int32(XID_SET_WATCHES).int32(Op.SET_WATCHES).int64(self._last_zxid)
-            writer.write(record.texts(data[part]).texts([]).texts(children[part]).frame())
+        for record in self._watch_records(self._last_zxid, data, children):
+            writer.write(Writer().int32(XID_SET_WATCHES).int32(Op.SET_WATCHES).raw(record).frame())
+
+    @staticmethod
+    def _watch_records(zxid: int, data: list[str], children: list[str]) -> list[bytes]:
+        """Return the records that set these watches; nodes that changed after `zxid` fire at once."""
+        return [
+            Writer().int64(zxid).texts(data[start:start + MAX_WATCHES_PER_RECORD])
+            .texts([]).texts(children[start:start + MAX_WATCHES_PER_RECORD]).record()
+            for start in range(0, max(len(data), len(children)), MAX_WATCHES_PER_RECORD)
+        ]  # fmt: skip
 
     async def _read_frame(self, reader: asyncio.StreamReader) -> Reader:
         return Reader(await reader.readexactly(frame_length(await reader.readexactly(4))))
@@ -455,6 +495,7 @@
             if zxid < self._last_zxid:
                 raise _StaleServer
             self._last_zxid = zxid
+            self._verified_zxid = self._verified_zxid or zxid  # no read of this session is older
         if xid == XID_PING:
             self._ping_sent_at = None
             return
@@ -480,7 +521,7 @@
             return  # a session event; the connection itself reports those
         kind = Event(number)
         if kind in (Event.CHILD, Event.DELETED):
-            self._child_watches.discard(full)
+            self._child_watches.pop(full, None)
         if kind is not Event.CHILD:
-            self._data_watches.discard(full)
+            self._data_watches.pop(full, None)
         self._on_event(kind, self._relative_path(full))
--- a/sorrelfront/sources/zookeeper.py
+++ b/sorrelfront/sources/zookeeper.py
@@ -40,6 +40,9 @@
 # read of all names.
 MIN_CHILDREN_INTERVAL_S = 0.05
 REFRESH_INTERVAL_S = 30.0  # mean time until the children are read without an event, in case a watch was lost
+# Mean time between checks whether watches were lost. A change counts as notified 6 s after the service has
+# it: the longest interval, a quarter above the mean, leaves a second for the read.
+VERIFY_INTERVAL_S = 4.0
 RETRY_DELAY_S = 1.0  # mean delay before reading again a path that is missing or refused
 RESYNC_SPREAD_S = 1.0  # the instances of a fleet spread their reads after an expired session over this time
 SEAT_NODE_NAME = re.compile(r"seat-([0-9]{4})")
@@ -115,7 +118,7 @@
         self.seats: SeatKeeper | None = None
         self._on_seat_change, self._previous_seat = on_seat_change, previous_seat
         self._session: net.Session | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []  # of the present session
         self._work_ready = asyncio.Event()
         self._connected = False
         self._children_stale = False
@@ -175,13 +178,16 @@
             self.seats = SeatKeeper(
                 self._session, self._settings, self._seed, self._name, self._now, self._on_seat_change, last
             )
-        self._task = asyncio.create_task(self._read_loop(self._session))
+        self._tasks = [
+            asyncio.create_task(self._read_loop(self._session)),
+            asyncio.create_task(self._verify_loop(self._session)),
+        ]
 
     def _close_session(self) -> None:
         session, self._session = self._session, None
-        if self._task is not None:
-            self._task.cancel()
-            self._task = None
+        for reading in self._tasks:
+            reading.cancel()
+        self._tasks.clear()
         if self.seats is not None:
             self.seats.close()
         if session is not None:
@@ -264,6 +270,19 @@
                 await asyncio.sleep(MIN_CHILDREN_INTERVAL_S)
             self._schedule_evaluation()
 
+    async def _verify_loop(self, session: net.Session) -> None:
+        """Have lost watches noticed, whose changes would otherwise never be read."""
+        while True:
+            await asyncio.sleep(VERIFY_INTERVAL_S * (0.75 + 0.5 * self._random.random()))
+            if not self._connected:
+                continue
+            try:
+                await session.verify_watches()
+            except (net.ConnectionLost, net.TooManyRequests):
+                continue  # the next check covers the same changes
+            except net.ZooKeeperError as refused:
+                log.warning("the service refused to verify the watches: %s", refused)
+
     async def _read_children(self, session: net.Session) -> None:
         if self._delay_read:
             self._delay_read = False
