Take the end of a session that was closed for nothing of the present one

Callers saw: after a change of hosts away from a service that hangs, the list of the new service was read once, or not at all, and nothing after it: drains, joins and leaves were missed for as long as the session lasted. The seats of the instances stood still as well.

Cause: EphemeralNodeSource.change closes the old session and opens another at once, with the same callbacks. The close waits 0.5 s for a service that does not answer; the end of its connection then was reported as the state 'disconnected' to a source whose new session had connected meanwhile. A state is reported when it changes, so nothing said that the new one was connected still.

Change: a session calls nothing back once its caller has closed or abandoned it.

Test: tests/sources/test_sessions.py, a service that hangs and its replacement: the drain at the new service was not seen (time-out), and the source said that it had no service.

--- a/sorrelfront/net/zookeeper.py
+++ b/sorrelfront/net/zookeeper.py
@@ -130,7 +130,8 @@
 
     `on_state_change` is called with each change of the session state, and `on_event` for each watch that
     fires, with the path relative to the chroot. Both are called in the event loop iteration that received
-    the change, and must not raise.
+    the change, and must not raise. Neither is called once `close` or `abandon` has been called: the caller
+    may have another session by then.
     """
 
     def __init__(
@@ -164,6 +165,7 @@
         self._child_watches: dict[str, int] = {}
         self._verified_zxid = 0  # changes up to this one have been read, or have fired a watch
         self.state: SessionState | None = None
+        self._closed = False  # the caller has ended it
         self.connections = 0
         self._task = asyncio.create_task(self._run())
         self._task.add_done_callback(self._on_task_done)
@@ -173,6 +175,7 @@
 
         If the service does not respond within `within_s`, the nodes are deleted when the session expires.
         """
+        self._closed = True
         if self._writer is not None:
             with contextlib.suppress(ConnectionLost, ZooKeeperError, TooManyRequests, TimeoutError):
                 async with asyncio.timeout(within_s):
@@ -181,6 +184,7 @@
 
     def abandon(self) -> None:
         """Stop without closing the session: it stays alive at the service until it expires."""
+        self._closed = True
         self._task.cancel()
         self._fail_all()
 
@@ -358,7 +362,8 @@
     def _set_state(self, state: SessionState) -> None:
         if state is not self.state:
             self.state = state
-            self._on_state_change(state)
+            if not self._closed:
+                self._on_state_change(state)
 
     async def _run_connection(self, host: Address) -> bool:
         """Run one connection until it ends; return whether a session was established on it."""
@@ -524,4 +529,5 @@
             self._child_watches.pop(full, None)
         if kind is not Event.CHILD:
             self._data_watches.pop(full, None)
-        self._on_event(kind, self._relative_path(full))
+        if not self._closed:
+            self._on_event(kind, self._relative_path(full))
--- /dev/null
+++ b/tests/sources/test_sessions.py
@@ -0,0 +1,58 @@
+"""What belongs to an earlier session of a source says nothing about the present one."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import replace
+
+import pytest
+
+from sorrelfront.decisions.interface import State
+from sorrelfront.lab.zookeeper.ensemble import Ensemble
+from sorrelfront.lists import parse_address
+from sorrelfront.net import zookeeper as net
+from sorrelfront.sources import zookeeper as source
+from tests.loopback import until
+from tests.sources.ephemeral import PATH, SESSION_S, Environment, run_scenario
+
+
+@pytest.fixture(autouse=True)
+def _no_refresh(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Keep the periodic read from finding what an event should have reported."""
+    monkeypatch.setattr(source, "REFRESH_INTERVAL_S", 1e6)
+
+
+def test_the_end_of_the_session_with_the_service_before_is_not_that_of_the_present_one() -> None:
+    """A service that hangs is replaced by another: the source took the end of the old session for its own."""
+
+    async def scenario(env: Environment) -> None:
+        everyone = await env.servers(4)
+        instance = env.instance()
+        await until(lambda: instance.ready == everyone)
+        other = await Ensemble(1, seed=2).start()
+        acls = other.tree.nodes["/"].acls
+        for path in ("/services", PATH):
+            other.tree.create(path, b"", acls, 0, 0, set(), 0)
+        for name in everyone:
+            record = json.dumps({"id": name, "address": f"127.0.0.1:900{name[1]}", "started_ms": 1_000})
+            other.tree.create(f"{PATH}/{name}", record.encode(), acls, 0, 0, set(), 0)
+        try:
+            env.ensemble.stall()
+            old = instance.source._session
+            assert old is not None
+            hosts = tuple(parse_address(host) for host in other.hosts.split(","))
+            settings = instance.source._settings
+            instance.source.change(replace(settings, session=net.SessionSettings(hosts, SESSION_S)))
+            await until(lambda: old._task.done())  # its close had no answer
+            await asyncio.sleep(0)
+            other.tree.set(f"{PATH}/b1", json.dumps(
+                {"id": "b1", "address": "127.0.0.1:9001", "started_ms": 1_000, "phase": "draining"}
+            ).encode(), -1, set(), 0)  # fmt: skip
+            await until(lambda: instance.states["b1"] is State.DRAINING)
+            assert instance.source.status()["service"] == "connected"
+        finally:
+            instance.source.close()
+            await other.stop()
+
+    run_scenario(scenario)
