Do not go back to older data of the service after a session has expired

Callers saw: a server that had written that it drains got requests again, where the session of an agent expired and its next one was opened at a member of the service that lags: the list went back to that member's, until it had caught up. A server that had registered again under its node was the one before again, at its old address.

Cause: Session._reset_session forgot the last zxid with the session, so any member was recent enough for the next.

Change: an expired session keeps the zxid, and members that have not seen it are left for others, as they are while a session lives. The way out for a service that was restored from older data stays: with no member recent enough for twice the session's time, counted from the expiry, it is given up. Reads after expired sessions are the same ones.

Test: tests/sources/test_sessions.py, three members, one of which lags and is tried first: the drained server was ready again before, and is not now.

--- a/sorrelfront/net/zookeeper.py
+++ b/sorrelfront/net/zookeeper.py
@@ -350,11 +350,12 @@
         timed_out = self._loop.time() > self._disconnected_since + 2 * self.timeout_s
         if self._stale_server_seen and timed_out:
             log.warning("all servers have older data than this session has seen; starting a new session")
-            self._reset_session()
+            self._reset_session(last_zxid=0)
 
-    def _reset_session(self) -> None:
-        self.id, self._password, self._last_zxid, self._stale_server_seen = 0, bytes(PASSWORD_BYTES), 0, False
-        self._verified_zxid = 0
+    def _reset_session(self, last_zxid: int) -> None:
+        """Have the next connection open a new session, with a server that has seen `last_zxid`."""
+        self.id, self._password, self._stale_server_seen = 0, bytes(PASSWORD_BYTES), False
+        self._last_zxid, self._verified_zxid = last_zxid, 0
         self._data_watches.clear()
         self._child_watches.clear()
         self._set_state(SessionState.EXPIRED)
@@ -375,7 +376,9 @@
                 expired = await self._handshake(reader, writer)
             if expired:
                 log.warning("the session has expired")
-                self._reset_session()
+                # What was read stays read: a server that lags would take it back, drains among it.
+                self._reset_session(self._last_zxid)
+                self._disconnected_since = self._loop.time()  # a server with recent data has just answered
                 return True  # a new session is opened after the shortest back-off
             established = True
             await self._receive(reader, writer)
--- a/tests/sources/test_sessions.py
+++ b/tests/sources/test_sessions.py
@@ -15,6 +15,7 @@
 from sorrelfront.sources import zookeeper as source
 from tests.loopback import until
 from tests.sources.ephemeral import PATH, SESSION_S, Environment, run_scenario
+from tests.sources.test_replaced_nodes import write_phase
 
 
 @pytest.fixture(autouse=True)
@@ -56,3 +57,32 @@
             await other.stop()
 
     run_scenario(scenario)
+
+
+def test_a_new_session_does_not_go_back_to_what_a_lagging_member_has() -> None:
+    """After an expired session a member that lags was taken: a server that had drained was served again."""
+
+    async def scenario(env: Environment) -> None:
+        everyone = await env.servers(4)
+        instance = env.instance()
+        await until(lambda: instance.ready == everyone)
+        session = instance.source._session
+        assert session is not None
+        lagging = next(
+            member for member in env.ensemble.members
+            if not any(peer.session.id == session.id for peer in member._peers)
+        )  # fmt: skip
+        lagging.freeze()
+        write_phase(env, "b1", "draining")
+        await until(lambda: instance.ready == everyone - {"b1"})
+        # It is tried first.
+        session._hosts.sort(key=lambda host: "{}:{}".format(*host) != lagging.address)
+        reported = len(instance.history)
+        number = session.id
+        env.ensemble.expire(number)
+        await until(lambda: session.id not in (0, number) and not instance.source._children_stale)
+        await until(lambda: not instance.source._unread and len(instance.source._listed_nodes) == 4)
+        assert instance.ready == everyone - {"b1"}
+        assert ("b1", State.READY) not in [(name, state) for _, name, state in instance.history[reported:]]
+
+    run_scenario(scenario, members=3)
