Read a node that could not be read again with the children, since no watch stands on it

Callers saw: a server whose record the service had refused to show (its access control list) stayed out for as long as its node's name was there, also after it had registered again with rights; where the periodic read or the session did not come to help, for ever.

Cause: the name stood in the list of read nodes, but a refused read sets no watch, so the deletion of its node fired none; the change of the children did, and showed the same names.

Change: such a node is read again with each read of the children, one request each.

Test: tests/sources/test_replaced_nodes.py, a node without rights that is replaced by one with: time-out before.

--- a/sorrelfront/sources/zookeeper.py
+++ b/sorrelfront/sources/zookeeper.py
@@ -376,6 +376,9 @@
             return None
         if isinstance(fault, net.ZooKeeperError):
             log.warning("ignoring the record of %s: %s", node[:MAX_TEXT_CHARS], fault)
+            # No watch stands on it: it is read again with the children, it may be another node by then.
+            self._listed_nodes.discard(node)
+            session.forget_watch(f"{self._settings.path}/{node}")
             self.tracker.on_record(node, None, self._now())
             return None
         self._unread[node] = changed or self._unread.get(node, False)
--- a/tests/sources/test_replaced_nodes.py
+++ b/tests/sources/test_replaced_nodes.py
@@ -8,6 +8,7 @@
 import pytest
 
 from sorrelfront.decisions.interface import State
+from sorrelfront.net.jute import Acl, Perm
 from sorrelfront.sources import zookeeper as source
 from tests.loopback import until
 from tests.sources.ephemeral import PATH, Environment, run_scenario
@@ -98,3 +99,21 @@
         await until(lambda: instance.ready == everyone - {"b0"} | {"other"})
 
     run_scenario(scenario)
+
+
+def test_a_node_that_could_not_be_read_is_read_once_another_one_has_its_name() -> None:
+    """A refused read sets no watch, so only the list of names tells of the node that replaces it."""
+
+    async def scenario(env: Environment) -> None:
+        tree = env.ensemble.tree
+        everyone = await env.servers(3)
+        record = json.dumps({"id": "b9", "address": "127.0.0.1:9009"}).encode()
+        tree.create(f"{PATH}/b9", record, (Acl(Perm.WRITE, "world", "anyone"),), 0, 0, set(), 0)
+        instance = env.instance()
+        await until(lambda: instance.ready == everyone)
+        replace_node(env, "b9", address="127.0.0.1:9009")
+        await until(lambda: instance.ready == everyone | {"b9"})
+        write_phase(env, "b9", "draining")
+        await until(lambda: instance.ready == everyone)
+
+    run_scenario(scenario)
