Let the node created later count for a server, not the one with the later clock time

Callers saw: a server whose clock had been set back before it restarted, and which registered under another node name while that of its earlier session had not expired, went on being known by the old record: requests went to the old address, and a drain that the new process wrote was not applied until the old session expired (up to 40 s). The same where the new process had another id and the address of the old one: the old id was served, at an address that was draining.

Cause: of several records of an id, and of several ids at an address, MembershipTracker took the one with the latest start time. That is by the clocks of the servers' hosts, and says nothing on which node came later.

Change: the zxid of the node's creation decides, then that of the last change. A process that was cut off and registers again behind its successor, with its own id, counts again until it leaves: both are registered as ready.

Tests: tests/sources/test_replaced_nodes.py, two nodes of an id and two ids at an address, the later with the earlier start time: both time out before. Members of tests/decisions/test_membership.py have the creation too; one tuple in test_zookeeper.py is longer by it. No assertion is given up.

--- a/sorrelfront/decisions/membership.py
+++ b/sorrelfront/decisions/membership.py
@@ -49,7 +49,8 @@
 class Member(NamedTuple):
     """A server as described by its record.
 
-    `version` orders records of the same id: it is the zxid of the last change.
+    `created` is the zxid of the creation of its node, `version` that of its last change. Of two nodes of one
+    id, or with one address, the one created later counts: their start times are by the clocks of their hosts.
     """
 
     id: str
@@ -60,6 +61,7 @@
     size: float
     started_us: int
     draining: bool
+    created: int
     version: int
 
     def backend(self, state: State) -> Backend:
@@ -281,7 +283,7 @@
         """Apply the newest record of this id."""
         records = (self._nodes[node] for node in entry.nodes)
         member = max(
-            (item for item in records if item is not None), key=lambda item: (item.started_us, item.version)
+            (item for item in records if item is not None), key=lambda item: (item.created, item.version)
         )
         restarted = entry.member.started_us != member.started_us
         if restarted:
@@ -467,4 +469,4 @@
 
 
 def _precedence(entry: ServerEntry) -> tuple[bool, int, int]:
-    return entry.status is Status.LISTED, entry.member.started_us, entry.member.version
+    return entry.status is Status.LISTED, entry.member.created, entry.member.version
--- a/sorrelfront/sources/zookeeper.py
+++ b/sorrelfront/sources/zookeeper.py
@@ -89,7 +89,7 @@
     address = parse_address(record.get("address"))
     return membership.Member(
         texts[0], address, texts[1], texts[2], cell, float(size), started_ms * 1000, phase == "draining",
-        stat.mzxid,
+        stat.czxid, stat.mzxid,
     )  # fmt: skip
 
 
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -37,7 +37,8 @@
 
 def server(name: str, version: int = 1, started_us: int = OLD, port: int = 0, drains: bool = False) -> Member:
     number = int(name[1:])
-    return Member(name, ("127.0.0.1", port or 9_000 + number), "a", "m", 0, 1.0, started_us, drains, version)
+    address = "127.0.0.1", port or 9_000 + number
+    return Member(name, address, "a", "m", 0, 1.0, started_us, drains, version, version)
 
 
 class Simulation:
--- a/tests/sources/test_replaced_nodes.py
+++ b/tests/sources/test_replaced_nodes.py
@@ -28,6 +28,12 @@
     tree.create(f"{PATH}/{name}", data, tree.nodes["/"].acls, 0, 0, set(), 0)
 
 
+def create_node(env: Environment, node: str, **record: Any) -> None:
+    """Create a node with this record."""
+    tree = env.ensemble.tree
+    tree.create(f"{PATH}/{node}", json.dumps(record).encode(), tree.nodes["/"].acls, 0, 0, set(), 0)
+
+
 def write_phase(env: Environment, name: str, phase: str) -> None:
     """Write another phase into the record of a server."""
     tree = env.ensemble.tree
@@ -117,3 +123,34 @@
         await until(lambda: instance.ready == everyone)
 
     run_scenario(scenario)
+
+
+def test_of_two_nodes_of_a_server_the_later_one_counts_whatever_its_clock_says() -> None:
+    """After its clock was set back, a server's new node yielded to the one of the session before."""
+
+    async def scenario(env: Environment) -> None:
+        everyone = await env.servers(4)
+        create_node(env, "before", id="b8", address="127.0.0.1:9008", started_ms=9_000)
+        instance = env.instance()
+        await until(lambda: instance.ready == everyone | {"b8"})
+        create_node(env, "after", id="b8", address="127.0.0.1:9908", started_ms=8_000)
+        await until(lambda: instance.addresses["b8"] == ("127.0.0.1", 9_908))
+        write_phase(env, "after", "draining")
+        await until(lambda: instance.ready == everyone)
+
+    run_scenario(scenario)
+
+
+def test_of_two_servers_at_an_address_the_later_one_counts_whatever_its_clock_says() -> None:
+    """The server that had the address before was taken for the one behind it, and its drain was missed."""
+
+    async def scenario(env: Environment) -> None:
+        everyone = await env.servers(4)
+        create_node(env, "before", id="b8", address="127.0.0.1:9008", started_ms=9_000)
+        instance = env.instance()
+        await until(lambda: instance.ready == everyone | {"b8"})
+        create_node(env, "after", id="b9", address="127.0.0.1:9008", started_ms=8_000)
+        await until(lambda: instance.ready == everyone | {"b9"})
+        assert instance.states["b8"] is State.GONE
+
+    run_scenario(scenario)
--- a/tests/sources/test_zookeeper.py
+++ b/tests/sources/test_zookeeper.py
@@ -369,7 +369,7 @@
 def test_records() -> None:
     member = parse_record(b'{"id":"a","address":"127.0.0.1:80"}', STAT)
     # Without a start time the server is as old as its node.
-    assert member == ("a", ("127.0.0.1", 80), "", "", 0, 1.0, 3_000_000, False, 7)
+    assert member == ("a", ("127.0.0.1", 80), "", "", 0, 1.0, 3_000_000, False, 1, 7)
     full = {"id": "a", "address": "127.0.0.1:80", "phase": "draining", "zone": "z", "kind": "k", "cell": 3,
             "size": 2, "started_ms": 9}  # fmt: skip
     assert parse_record(json.dumps(full).encode(), STAT).draining
