Fail requests that wait for a connection when their session expires

Cause: requests that are not sent yet outlive a connection, and outlived the session too. A delete names a node by its path only; in another session the path may be another client's node.

Change: with the session its waiting requests end as connection lost, as those in flight do. All callers read again then, and releases without an answer are settled by the owner of the node.

Test: tests/sources/test_sessions.py: the delete was carried out before; it raises, and the node stays, now.

--- a/sorrelfront/net/zookeeper.py
+++ b/sorrelfront/net/zookeeper.py
@@ -353,7 +353,11 @@
             self._reset_session(last_zxid=0)
 
     def _reset_session(self, last_zxid: int) -> None:
-        """Have the next connection open a new session, with a server that has seen `last_zxid`."""
+        """Have the next connection open a new session, with a server that has seen `last_zxid`.
+
+        What waits to be sent was meant for the session before: its nodes may be another client's by now.
+        """
+        self._fail_all()
         self.id, self._password, self._stale_server_seen = 0, bytes(PASSWORD_BYTES), False
         self._last_zxid, self._verified_zxid = last_zxid, 0
         self._data_watches.clear()
--- a/tests/sources/test_sessions.py
+++ b/tests/sources/test_sessions.py
@@ -12,6 +12,7 @@
 from sorrelfront.lab.zookeeper.ensemble import Ensemble
 from sorrelfront.lists import parse_address
 from sorrelfront.net import zookeeper as net
+from sorrelfront.net.jute import Flag
 from sorrelfront.sources import zookeeper as source
 from tests.loopback import until
 from tests.sources.ephemeral import PATH, SESSION_S, Environment, run_scenario
@@ -86,3 +87,30 @@
         assert ("b1", State.READY) not in [(name, state) for _, name, state in instance.history[reported:]]
 
     run_scenario(scenario, members=3)
+
+
+def test_a_request_that_waits_for_a_session_that_expires_is_not_made_in_the_next_one() -> None:
+    """The release of a seat that waited so deleted the node of the instance that had taken the seat."""
+
+    async def scenario(env: Environment) -> None:
+        member, tree = env.ensemble.members[0], env.ensemble.tree
+        first = env.instance(fleet="/fleet")
+        await until(lambda: first.seat_changes == [0] and "/fleet/seat-0000" in tree.nodes)
+        session = first.source._session
+        assert session is not None
+        number = session.id
+        member.vanish()
+        await until(lambda: session.state is net.SessionState.DISCONNECTED)
+        release = asyncio.create_task(session.delete("/fleet/seat-0000"))
+        await asyncio.sleep(0)  # it waits for a connection
+        env.ensemble.expire(number)
+        other = tree.open(60_000, env.ensemble.now_ms())
+        tree.create("/fleet/seat-0000", b"other", tree.nodes["/"].acls, Flag.EPHEMERAL, other.id, set(), 0)
+        await member.come_back()
+        with pytest.raises(net.ConnectionLost):
+            await release
+        await until(lambda: session.id not in (0, number) and first.source.seats is not None
+                    and first.source.seats.allocator.held == 1)  # fmt: skip
+        assert tree.nodes["/fleet/seat-0000"].owner == other.id
+
+    run_scenario(scenario)
