--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -43,6 +43,7 @@
 SERVERS = 30
 NAME_SETS = 200  # random sets of names that means are taken over
 SESSION_S = 2.0
+SETTLE_S = 1.0  # until the last of several changes has been read
 
 # Cases: events of the servers happen in both runs, faults of the service only in the ZooKeeper run
 
@@ -213,6 +214,7 @@
 
     def __init__(self, hosts: str, seed: int) -> None:
         self.ready: set[str] = set()
+        self.started_us: dict[str, int] = {}
         self.has_place = asyncio.Event()
         addresses = tuple(parse_address(host) for host in hosts.split(","))
         self.source = EphemeralNodeSource(
@@ -224,6 +226,7 @@
 
     def _on_update(self, update: Update) -> None:
         for backend in update.backends:
+            self.started_us[backend.id] = backend.started_us
             if backend.state is State.READY:
                 self.ready.add(backend.id)
             else:
@@ -251,9 +254,8 @@
         results["watches"] = ensemble.watches - servers_watches
         before = ensemble.request_counts
         await asyncio.sleep(10.0)
-        results["at rest, a second"] = round(
-            sum(_without_pings(ensemble.request_counts - before).values()) / 10, 2
-        )
+        results["at rest, 10 s, all"] = _without_pings(ensemble.request_counts - before)
+        results["at rest, a second"] = round(sum(results["at rest, 10 s, all"].values()) / 10, 2)
         before, started_at = ensemble.request_counts, asyncio.get_running_loop().time()
         for at in range(SERVERS):
             await registrar.deregister(f"b{at}")
@@ -264,6 +266,16 @@
         elapsed_s = asyncio.get_running_loop().time() - started_at
         results["release of 30, all"] = _without_pings(ensemble.request_counts - before)
         results["release of 30, a second"] = round(sum(results["release of 30, all"].values()) / elapsed_s, 1)
+        before = ensemble.request_counts
+        for at in range(SERVERS):  # as processes that are killed and started again
+            registrar.crash(f"c{at}")
+            await registrar.register(f"c{at}", f"127.0.0.1:{9_200 + at}", started_ms=2_000)
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(SETTLE_S)
+        results["restart of 30 under their nodes, all"] = _without_pings(ensemble.request_counts - before)
+        results["restart of 30, read by all"] = all(
+            item.started_us[f"c{at}"] == 2_000_000 for item in sources for at in range(SERVERS)
+        )
         for item in sources:
             assert item.source._session is not None
             ensemble.expire(item.source._session.id)
