Give up a seat whose node another instance has made anew

Callers saw, where an operator or a fault deleted the node of a seat and another instance claimed it at once: both instances used the same slice of the servers from then on, so these got twice their share and others none.

Cause: SeatKeeper read the names of the seats only. The name of its seat was there, so it counted as held.

Change: a watch stands on the node of the own seat, set by the read that confirms its owner. When it fires the owner is read again, and a seat of another owner is given up; the slice moves once another seat is held, as after a lost claim.

Test: tests/sources/test_sessions.py: the seat was kept before (time-out).

--- a/sorrelfront/decisions/seat_allocation.py
+++ b/sorrelfront/decisions/seat_allocation.py
@@ -156,6 +156,11 @@
         self._holes = {seat: self._holes.get(seat, now) for seat in holes}
         return self._decide(now)
 
+    def on_lost(self, seat: int) -> None:
+        """Record that the node of this seat is not ours any more; the next `on_seats` follows it up."""
+        if self.held == seat:
+            self.held = None
+
     def on_claimed(self, seat: int, is_ours: bool, now: int) -> list[Action]:
         """Handle the result of a claim: the node is ours, or another instance created it first."""
         if self._pending_claim != seat:
--- a/sorrelfront/sources/zookeeper.py
+++ b/sorrelfront/sources/zookeeper.py
@@ -225,8 +225,7 @@
     def _on_event(self, event: Event, path: str) -> None:
         if self._session is None:
             return
-        if self.seats is not None and path == self._settings.seats_path:
-            self.seats.on_seats_changed()
+        if self.seats is not None and self.seats.on_event(path):
             return
         log.info("watch event: %s, %s", event.name.lower(), path[-MAX_TEXT_CHARS:])
         node = path.rpartition("/")[2]
@@ -474,6 +473,7 @@
         self._read_needed = asyncio.Event()
         self._connected = asyncio.Event()
         self._unconfirmed: set[int] = set()  # claims and releases without a response
+        self._watched_seat: int | None = None  # the seat whose node was ours when our watch was set on it
         self._tasks: set[asyncio.Task[None]] = set()
         self._timers: set[asyncio.TimerHandle] = set()
         self._spawn(self._read_loop())
@@ -508,6 +508,7 @@
         expired = state is net.SessionState.EXPIRED
         if expired:
             self._unconfirmed.clear()
+            self._watched_seat = None
         self._execute(
             self.allocator.on_session(
                 seat_allocation.SessionState.EXPIRED
@@ -517,9 +518,15 @@
             )
         )
 
-    def on_seats_changed(self) -> None:
-        """Read the seats again, because their watch fired."""
-        self._read_needed.set()
+    def on_event(self, path: str) -> bool:
+        """Read the seats again if this is a watch of theirs; return whether it is."""
+        is_own_seat = self._watched_seat is not None and path == self._seat_path(self._watched_seat)
+        if is_own_seat:
+            self._watched_seat = None
+        if is_own_seat or path == self._path:
+            self._read_needed.set()
+            return True
+        return path.startswith(f"{self._path}/")
 
     async def _read_loop(self) -> None:
         while True:
@@ -557,8 +564,34 @@
             if await self._is_ours(seat):
                 self._execute(self.allocator.on_claimed(seat, True, self._now()))
         self._unconfirmed.clear()
+        if self.allocator.held in taken:
+            await self._confirm_held()
         self._execute(self.allocator.on_seats(taken, self._now()))
 
+    async def _confirm_held(self) -> None:
+        """Learn whether the node with the name of our seat is ours, unless a watch on it would have told."""
+        seat = self.allocator.held
+        if seat is None or seat == self._watched_seat:
+            return
+        if self._watched_seat is not None:
+            self._session.forget_watch(self._seat_path(self._watched_seat))
+            self._watched_seat = None
+        self._watched_seat = seat  # before the read: its watch may fire before its answer is handled
+        is_ours = False
+        try:
+            _, stat = await self._session.get(self._seat_path(seat), watch=True)
+            is_ours = stat.ephemeral_owner == self._session.id
+        except net.ZooKeeperError as refused:
+            if refused.err != Err.NO_NODE:
+                raise
+        finally:
+            if not is_ours:
+                self._watched_seat = None
+        if not is_ours:
+            log.warning("seat %d is another instance's now", seat)
+            self._session.forget_watch(self._seat_path(seat))
+            self.allocator.on_lost(seat)
+
     async def _create_path(self) -> None:
         parts = self._path.split("/")[1:]
         for depth in range(1, len(parts) + 1):
--- a/tests/sources/test_sessions.py
+++ b/tests/sources/test_sessions.py
@@ -114,3 +114,19 @@
         assert tree.nodes["/fleet/seat-0000"].owner == other.id
 
     run_scenario(scenario)
+
+
+def test_a_seat_whose_node_another_instance_has_made_is_given_up() -> None:
+    """The name of its node was there, so both used the seat from then on."""
+
+    async def scenario(env: Environment) -> None:
+        tree = env.ensemble.tree
+        first = env.instance(fleet="/fleet")
+        await until(lambda: first.seat_changes == [0] and "/fleet/seat-0000" in tree.nodes)
+        other = tree.open(60_000, env.ensemble.now_ms())
+        tree.delete("/fleet/seat-0000", -1, set())  # by an operator
+        tree.create("/fleet/seat-0000", b"other", tree.nodes["/"].acls, Flag.EPHEMERAL, other.id, set(), 0)
+        await until(lambda: first.seat_changes == [0, 1])
+        assert tree.nodes["/fleet/seat-0000"].owner == other.id
+
+    run_scenario(scenario)
