Send nothing to a process that a later list of a peer has replaced

Callers saw, by reading and a test, at an agent that is cut off from its list service: a server that restarted after its clock had been set back, and drained, went on being served by this agent, although its peers had been told of both under a later version of the list.

Cause: ConservativeView.effective ignored an entry of a later version if its start time was earlier than that of the own service's, taking the id and the larger time for the process. The version of the list says which came later; times are by the servers' clocks.

Change: such an entry is another process, so the one that the own service has sent is gone: nothing new goes there until the own service sends a later version. The start time that the agent has stays, since replicas never make it less cautious. Entries on drains, which have no list of their own, are compared as before.

Test: tests/fleet/test_servers.py, ready and draining under the earlier start: ready before, draining now.

--- a/sorrelfront/decisions/fleet/servers.py
+++ b/sorrelfront/decisions/fleet/servers.py
@@ -2,9 +2,11 @@
 
 This module does no I/O. An agent goes by the list of its own list service, and by replicas only where they
 are more cautious. A server that another member was told to drain, or that it was told is gone, gets nothing
-new from this agent either, unless the agent's own service has sent a later version of the list. Of two starts
-of a server the later one counts. An agent whose service has sent nothing in this incarnation serves by the
-replica of the list, once it has caught up with its peers.
+new from this agent either, unless the agent's own service has sent a later version of the list. Nor does one
+that a later version has with an earlier start, as another process then; a later start is taken over.
+
+An agent whose service has sent nothing in this incarnation serves by the replica of the list, once it has
+caught up with its peers.
 """
 
 from __future__ import annotations
@@ -144,6 +146,10 @@
             elif replicated.listed.started_us >= started_us:
                 phase = max(phase, PHASES.index(replicated.listed.state))
                 started_us = replicated.listed.started_us
+            else:
+                # A later process with an earlier start, by a clock that was set back: the one that the own
+                # service has sent is gone.
+                phase = max(phase, PHASES.index(State.DRAINING))
         for drain in replicated.drains:
             if drain.seq > self.seq and drain.started_us >= listed.started_us:
                 phase = max(phase, min(drain.phase, PHASES.index(State.DRAINING)))
--- a/tests/fleet/test_servers.py
+++ b/tests/fleet/test_servers.py
@@ -95,6 +95,19 @@
     assert effective.state is State.READY
 
 
+def test_a_process_that_a_later_list_has_replaced_gets_nothing_new_whatever_the_clocks_say() -> None:
+    """The new one's start was before the old one's, by its clock: its drain was ignored."""
+    agent = ConservativeView()
+    agent.on_list(3, True, [Backend("s", started_us=10)])
+    for state in (State.READY, State.DRAINING):
+        replaced = {"s": ReplicatedServer(4, Backend("s", state=state, started_us=9))}
+        effective = agent.effective("s", replaced["s"])
+        assert effective.state is State.DRAINING and effective.started_us == 10
+    agent.on_list(5, False, [Backend("s", started_us=9)])
+    (effective,) = agent.changes(replaced)
+    assert effective.state is State.READY and effective.started_us == 9
+
+
 def test_a_server_missing_from_a_later_list_gets_nothing_new() -> None:
     agent = ConservativeView()
     agent.on_list(3, True, [Backend("s")])
