Read listed nodes again that no watch stands on

Change: before each check, listed nodes that have no watch, are not to be read and were not reported as deleted are read, with a warning. Nothing is read where the bookkeeping is right.

Tests: tests/sources/test_lost_watches.py, a watch that both sides have forgotten and a drain behind it: time-out before. The tests of replaced nodes and of sessions switch this check off: it would hide what they look for.

--- a/sorrelfront/net/zookeeper.py
+++ b/sorrelfront/net/zookeeper.py
@@ -278,6 +278,10 @@
             watches[full] = UNREAD
         return full
 
+    def has_data_watch(self, path: str) -> bool:
+        """Return whether a data watch stands on this path, or is set by a read under way."""
+        return self._full_path(path) in self._data_watches
+
     def forget_watch(self, path: str) -> None:
         """Stop setting the data watch of this path again after a reconnect."""
         self._data_watches.pop(self._full_path(path), None)
--- a/sorrelfront/sources/zookeeper.py
+++ b/sorrelfront/sources/zookeeper.py
@@ -275,6 +275,7 @@
             await asyncio.sleep(VERIFY_INTERVAL_S * (0.75 + 0.5 * self._random.random()))
             if not self._connected:
                 continue
+            self._read_unwatched(session)
             try:
                 await session.verify_watches()
             except (net.ConnectionLost, net.TooManyRequests):
@@ -282,6 +283,17 @@
             except net.ZooKeeperError as refused:
                 log.warning("the service refused to verify the watches: %s", refused)
 
+    def _read_unwatched(self, session: net.Session) -> None:
+        """Have listed nodes read that nothing would report a change of: no watch, no read, no event."""
+        unwatched = [
+            node for node in self._listed_nodes - self._unread.keys() - self._deleted_nodes
+            if not session.has_data_watch(f"{self._settings.path}/{node}")
+        ]  # fmt: skip
+        if unwatched:
+            log.warning("no watch stands on %d nodes; they are read again", len(unwatched))
+            self._unread.update(dict.fromkeys(unwatched, False))
+            self._work_ready.set()
+
     async def _read_children(self, session: net.Session) -> None:
         if self._delay_read:
             self._delay_read = False
--- a/tests/sources/test_lost_watches.py
+++ b/tests/sources/test_lost_watches.py
@@ -72,6 +72,22 @@
     run_scenario(scenario)
 
 
+def test_a_node_that_nothing_watches_is_read_again() -> None:
+    """A fault in the bookkeeping, as that of review/9, hides a drain for seconds and not for ever."""
+
+    async def scenario(env: Environment) -> None:
+        everyone = await env.servers(4)
+        instance = env.instance()
+        await until(lambda: instance.ready == everyone)
+        assert instance.source._session is not None
+        env.ensemble.members[0].lose_watches()
+        instance.source._session.forget_watch(f"{PATH}/b1")
+        write_phase(env, "b1", "draining")
+        await until(lambda: instance.states["b1"] is State.DRAINING)
+
+    run_scenario(scenario)
+
+
 def test_nothing_is_read_while_no_watch_is_lost() -> None:
     """Also of nodes that have changed since the last check, whose watches have fired."""
 
--- a/tests/sources/test_replaced_nodes.py
+++ b/tests/sources/test_replaced_nodes.py
@@ -16,8 +16,9 @@
 
 @pytest.fixture(autouse=True)
 def _no_refresh(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Keep the periodic read from finding what an event should have reported."""
+    """Keep the periodic checks from finding what an event should have reported."""
     monkeypatch.setattr(source, "REFRESH_INTERVAL_S", 1e6)
+    monkeypatch.setattr(source, "VERIFY_INTERVAL_S", 1e6)
 
 
 def replace_node(env: Environment, name: str, **record: Any) -> None:
--- a/tests/sources/test_sessions.py
+++ b/tests/sources/test_sessions.py
@@ -21,8 +21,9 @@
 
 @pytest.fixture(autouse=True)
 def _no_refresh(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Keep the periodic read from finding what an event should have reported."""
+    """Keep the periodic checks from finding what an event should have reported."""
     monkeypatch.setattr(source, "REFRESH_INTERVAL_S", 1e6)
+    monkeypatch.setattr(source, "VERIFY_INTERVAL_S", 1e6)
 
 
 def test_the_end_of_the_session_with_the_service_before_is_not_that_of_the_present_one() -> None:
