Do not take a node whose read is about to be sent for one without a watch

The check of the bookkeeping ran between taking the nodes to read off their queue and the first step of their reads, which sets the watch: it would have had them read twice, and warned of a fault that is none.

--- a/sorrelfront/sources/zookeeper.py
+++ b/sorrelfront/sources/zookeeper.py
@@ -125,6 +125,7 @@
         self._sync_first = False  # the next read of the children is preceded by a sync
         self._delay_read = False  # the next read of the children waits a random part of RESYNC_SPREAD_S
         self._unread: OrderedDict[str, bool] = OrderedDict()  # records to read; True: a watch has fired
+        self._reading: frozenset[str] = frozenset()  # nodes whose record is being read
         self._listed_nodes: set[str] = set()  # whose record is read, or is in `_unread`
         # Listed nodes whose deletion an event has reported. One that is listed again is another node of the
         # same name: what was read of the first one, and its watch, say nothing about it.
@@ -286,7 +287,7 @@
     def _read_unwatched(self, session: net.Session) -> None:
         """Have listed nodes read that nothing would report a change of: no watch, no read, no event."""
         unwatched = [
-            node for node in self._listed_nodes - self._unread.keys() - self._deleted_nodes
+            node for node in self._listed_nodes - self._unread.keys() - self._reading - self._deleted_nodes
             if not session.has_data_watch(f"{self._settings.path}/{node}")
         ]  # fmt: skip
         if unwatched:
@@ -346,8 +347,10 @@
         nodes = [
             self._unread.popitem(last=False) for _ in range(min(MAX_CONCURRENT_READS, len(self._unread)))
         ]
+        self._reading = frozenset(node for node, _ in nodes)
         reads = (session.get(f"{self._settings.path}/{node}", watch=True) for node, _ in nodes)
         answers = await asyncio.gather(*reads, return_exceptions=True)
+        self._reading = frozenset()
         failure: BaseException | None = None
         for (node, changed), answer in zip(nodes, answers, strict=True):
             if isinstance(answer, BaseException):
