Forget which records are being read with the session that reads them

A change of hosts cancels the reads of the session before; the nodes that these had taken stayed left out of the check for nodes without a watch.

--- a/sorrelfront/sources/zookeeper.py
+++ b/sorrelfront/sources/zookeeper.py
@@ -203,6 +203,7 @@
         self._unread.clear()
         self._listed_nodes.clear()
         self._deleted_nodes.clear()
+        self._reading = frozenset()
 
     # Callbacks of the session
 
