Hand events of servers below the seats' path to the list again

A seat's event is now that of a node with a seat's name right below the path.

Test: tests/sources/test_replaced_nodes.py, seats above the servers: time-out on, as before it no more.

--- a/sorrelfront/sources/zookeeper.py
+++ b/sorrelfront/sources/zookeeper.py
@@ -536,13 +536,14 @@
 
     def on_event(self, path: str) -> bool:
         """Read the seats again if this is a watch of theirs; return whether it is."""
-        is_own_seat = self._watched_seat is not None and path == self._seat_path(self._watched_seat)
-        if is_own_seat:
+        parent, _, name = path.rpartition("/")
+        is_seat = parent == self._path and SEAT_NODE_NAME.fullmatch(name) is not None
+        if self._watched_seat is not None and path == self._seat_path(self._watched_seat):
             self._watched_seat = None
-        if is_own_seat or path == self._path:
             self._read_needed.set()
-            return True
-        return path.startswith(f"{self._path}/")
+        elif path == self._path:
+            self._read_needed.set()
+        return is_seat or path == self._path
 
     async def _read_loop(self) -> None:
         while True:
@@ -591,7 +592,6 @@
             return
         if self._watched_seat is not None:
             self._session.forget_watch(self._seat_path(self._watched_seat))
-            self._watched_seat = None
         self._watched_seat = seat  # before the read: its watch may fire before its answer is handled
         is_ours = False
         try:
@@ -604,7 +604,7 @@
             if not is_ours:
                 self._watched_seat = None
         if not is_ours:
-            log.warning("seat %d is another instance's now", seat)
+            log.warning("the node of seat %d is not ours any more", seat)
             self._session.forget_watch(self._seat_path(seat))
             self.allocator.on_lost(seat)
 
--- a/tests/sources/test_replaced_nodes.py
+++ b/tests/sources/test_replaced_nodes.py
@@ -58,6 +58,21 @@
     run_scenario(scenario)
 
 
+def test_servers_below_the_path_of_the_seats_are_told_apart_from_seats() -> None:
+    """The events of nodes below both paths are those of servers."""
+
+    async def scenario(env: Environment) -> None:
+        everyone = await env.servers(4)
+        instance = env.instance(fleet=PATH.rpartition("/")[0])
+        await until(lambda: instance.ready == everyone and instance.seat_changes == [0])
+        replace_node(env, "b1", address="127.0.0.1:9901", started_ms=7_000)
+        await until(lambda: instance.started["b1"] == 7_000_000)
+        write_phase(env, "b1", "draining")
+        await until(lambda: instance.ready == everyone - {"b1"})
+
+    run_scenario(scenario)
+
+
 def test_a_server_that_comes_back_draining_gets_nothing_new() -> None:
     """The new record says that it drains: it went on being served by the record of the old node."""
 
