--- a/tests/sources/test_replaced_nodes.py
+++ b/tests/sources/test_replaced_nodes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from random import Random
 from typing import Any
 
 import pytest
@@ -10,6 +11,7 @@
 from sorrelfront.decisions.interface import State
 from sorrelfront.net.jute import Acl, Perm
 from sorrelfront.sources import zookeeper as source
+from tests.lab.test_zookeeper import with_kazoo
 from tests.loopback import until
 from tests.sources.ephemeral import PATH, Environment, run_scenario
 
@@ -170,3 +172,52 @@
         assert instance.states["b8"] is State.GONE
 
     run_scenario(scenario)
+
+
+def _change_nodes(client: Any, names: list[str], random: Random) -> dict[str, dict[str, Any]]:
+    """Replace nodes, in one transaction or two steps, and write phases; return the last records."""
+    records: dict[str, dict[str, Any]] = {}
+    for number in range(150):
+        name = random.choice(names)
+        path = f"{PATH}/{name}"
+        record = {"id": name, "address": f"127.0.0.1:{20_000 + number}", "started_ms": 10_000 + number}
+        records[name] = {**record, "phase": random.choice(("ready", "draining"))}
+        data = json.dumps(records[name]).encode()
+        match random.randrange(3):
+            case 0:
+                transaction = client.transaction()
+                transaction.delete(path)
+                transaction.create(path, data)
+                assert transaction.commit() == [True, path]
+            case 1:
+                client.delete(path)
+                client.create(path, data)
+            case _:
+                client.set(path, data)
+    return records
+
+
+def test_what_another_client_of_the_service_writes_is_followed_to_the_last() -> None:
+    """Changes by kazoo, from a thread of its own, so that they meet the reads of the source anywhere."""
+
+    async def scenario(env: Environment) -> None:
+        everyone = await env.servers(4)
+        instance = env.instance()
+        await until(lambda: instance.ready == everyone)
+        last: dict[str, dict[str, Any]] = {}
+
+        def use(client: Any) -> None:
+            last.update(_change_nodes(client, sorted(everyone), Random(7)))
+
+        await with_kazoo(env.ensemble, use)
+        for name, record in last.items():
+            await until(lambda name=name, record=record: (  # type: ignore[misc]
+                instance.started[name] == record["started_ms"] * 1_000
+                and (instance.states[name] is State.DRAINING) == (record["phase"] == "draining")
+                and "{}:{}".format(*instance.addresses[name]) == record["address"]
+            ))  # fmt: skip
+        for name in last:
+            write_phase(env, name, "draining")
+        await until(lambda: not instance.ready)
+
+    run_scenario(scenario)
